--- a/src/constants.ts
+++ b/src/constants.ts
@@ -59,6 +59,8 @@
 export const TXN_BYTES = 48 * 1024;
 /** entries: writes waiting at the writer before the frontdoor is held back. */
 export const WRITER_QUEUE = 500;
+/** ms: how long a write of the leader may wait for the state service before it is taken up anew. */
+export const STORE_TIMEOUT_MS = 10_000;
 /** ms: without one successful call for this long the state service counts as failing for us. */
 export const STATE_FAILING_MS = 1_200;
 /** tasks: finished tasks kept as one bitmap per key: 8192 bits are 1.4 KB in base64, far below value_kb. */
--- a/src/leadership/leader.ts
+++ b/src/leadership/leader.ts
@@ -1,69 +1,37 @@
 import type { Logger } from 'pino';
 import { Actor } from '../actor.js';
 import type { Clock } from '../clock.js';
-import { Cloud, type CloudEvent, type Rental } from '../cloud/cloud.js';
-import { offerKey, type MachineType, type Offer } from '../cloud/codec.js';
+import { Cloud, type CloudEvent } from '../cloud/cloud.js';
+import type { MachineType } from '../cloud/codec.js';
 import {
-  ATTEMPTS_PER_TERM,
-  DEAF_AFTER_MS,
-  DEAF_SHARE,
   DEPUTY_FRESH_MS,
-  FAULTY_AFTER_JOBS,
-  HANDOVER_MACHINES,
   LEAST_CHARGE_MS,
-  LOST_REPORTS,
   LOST_START_MS,
   ORDERS_PER_ANSWER,
   ORDER_CALL_MS,
   ORDER_REPEAT_MS,
-  OVERRUN_SHARE,
   PASS_EVERY_MS,
   PASS_SPACING_MS,
-  PREEMPT_AFTER_MS,
-  PREEMPT_PROD_AFTER_MS,
-  REFUSED_MS,
-  RENT_MAX,
   SAVE_LEEWAY_S,
-  SILENT_REPORTS,
-  STARTS_PER_PASS,
-  START_EXTRA_S,
-  MISS_PENALTY_S,
-  STUCK_BOOT_MIN_MS,
-  STUCK_BOOT_RATIO,
 } from '../constants.js';
 import { decodeReport, encodeOrders, type ExitCause, type Order, type Report } from '../fleet/codec.js';
+import { Health } from '../fleet/health.js';
 import { leaseEndMs } from '../fleet/lease.js';
-import { Ledger, type Attempt, type Node, type Resources } from '../fleet/ledger.js';
+import { Ledger, type Attempt, type Node } from '../fleet/ledger.js';
 import { CallError, type HttpCaller, type Respond } from '../http/message.js';
-import { Job } from '../pipeline/job.js';
-import { chooseNode } from '../placement/choose.js';
+import type { Job } from '../pipeline/job.js';
 import { byRelease, withinGuarantee } from '../placement/order.js';
-import { planRentals, type Coming, type Demand } from '../placement/rent.js';
-import { slots, teamRoom, type TeamLimit } from '../placement/rules.js';
-import { addTo, chooseClearing } from '../placement/preempt.js';
+import { Placer } from '../placement/placer.js';
+import { Renter } from '../placement/renter.js';
+import type { TeamLimit } from '../placement/rules.js';
 import type { Settings } from '../settings.js';
-import type { Change, Condition, Operation } from '../state/client.js';
+import type { Change } from '../state/client.js';
 import type { Mirror } from '../state/mirror.js';
-import {
-  CATALOG_KEY,
-  JOBS,
-  KEPT,
-  LEADER_KEY,
-  NODES,
-  chunkCount,
-  decodeJob,
-  doneKey,
-  encodeDone,
-  encodeJob,
-  isJobKey,
-  isKeptKey,
-  keptNode,
-  keyId,
-  nodeKey,
-} from '../state/records.js';
+import { CATALOG_KEY, KEPT, NODES, isJobKey, isKeptKey, keptNode, keyId, nodeKey } from '../state/records.js';
 import type { Writer, WriteOutcome } from '../state/writer.js';
 import { formatJson, isObject, parseJson, type WireInt } from '../wire/json.js';
 import type { Term } from './election.js';
+import { JobStore, type StoreEnd } from './job-store.js';
 
 export interface LeaderDeps {
   settings: Settings;
@@ -91,32 +59,24 @@
       body: string;
       failure?: 'unsent' | 'unclear';
     }
-  | {
-      kind: 'stored';
-      job: Job;
-      result: WriteOutcome;
-      record: ReturnType<Job['record']>;
-      chunks: [number, string][];
-    }
+  | ({ kind: 'stored' } & StoreEnd)
   | { kind: 'recorded'; node: Node; result: WriteOutcome }
   | { kind: 'fence'; node: Node; leaseEndMs: number; confirmed: boolean }
   | { kind: 'pass' };
 
-/** How long a write of the leader may wait for the state service before it is taken up anew. */
-const STORE_TIMEOUT_MS = 10_000;
-
 /**
  * The leader of one term: owns the jobs and the fleet, decides what runs where. It is built from the state service
  * when a term begins and thrown away when it ends.
  */
 export class Leader extends Actor<Message> {
-  private readonly jobs = new Map<string, Job>();
+  private readonly store: JobStore;
+  private readonly health: Health;
+  private readonly placer: Placer;
+  private readonly renter: Renter;
   private readonly ledger: Ledger;
   private readonly cloud: Cloud;
   private readonly limits: Map<string, TeamLimit>;
   private types = new Map<string, MachineType>();
-  private readonly rentals = new Map<string, Rental>();
-  private readonly refusedUntil = new Map<string, number>();
   /** Machines recorded by earlier terms, on which tasks may run that we don't know of. */
   private readonly unaccounted = new Set<Node>();
   /** Keys of the machines whose leases deputies keep, with the machine's name. */
@@ -124,9 +84,6 @@
   private readonly fencing = new Set<Node>();
   /** Machines deleted lately, with when. */
   private readonly goneMs = new Map<string, number>();
-  private attemptSeq = 0;
-  private rentalSeq = 0;
-  private listed = false;
   private passTimer: (() => void) | undefined;
   private passDueMs = Infinity;
   private lastPassMs = -Infinity;
@@ -139,7 +96,7 @@
     const { settings, clock } = deps;
     this.startedMs = clock.steadyMs();
     this.limits = new Map(settings.teams.map((team) => [team.name, team]));
-    this.ledger = new Ledger(settings.leaseS, (uid) => this.jobs.get(uid), {
+    this.ledger = new Ledger(settings.leaseS, (uid) => this.store.jobs.get(uid), {
       exited: (attempt, cause) => this.onExited(attempt, cause),
       released: (attempt) => this.onReleased(attempt),
     });
@@ -153,11 +110,54 @@
       deps.onFailure,
     );
     this.loadTypes(deps.mirror.get(CATALOG_KEY)?.value);
-    for (const row of deps.mirror.startingWith(JOBS)) this.takeJob(row.key, row.value, row.stamp);
+    this.store = new JobStore({
+      term: deps.term,
+      mirror: deps.mirror,
+      writer: deps.writer,
+      objectives: settings.objectives,
+      wallMs: () => clock.wallMs(),
+      log: deps.log,
+      stored: (end) => this.send({ kind: 'stored', ...end }),
+      reread: (key) => this.reread(key),
+      cancelled: (job) => {
+        for (const attempt of job.bound.values()) this.wantStop(attempt, 0);
+      },
+    });
+    this.health = new Health({
+      ledger: this.ledger,
+      reportS: settings.reportS,
+      startedMs: this.startedMs,
+      typeOf: (name) => this.types.get(name),
+      jobOf: (uid) => this.store.jobs.get(uid),
+      isKept: (node) => this.isKept(node),
+      zoneSilent: deps.zoneSilent,
+    });
+    this.placer = new Placer({
+      ledger: this.ledger,
+      health: this.health,
+      jobs: this.store.jobs,
+      limits: this.limits,
+      term: deps.term.number,
+      types: () => this.types,
+      recovered: () => this.recovered,
+      wallMs: () => clock.wallMs(),
+      stop: (attempt, leewayS) => this.wantStop(attempt, leewayS),
+      log: deps.log,
+    });
+    this.renter = new Renter({
+      ledger: this.ledger,
+      health: this.health,
+      placer: this.placer,
+      term: deps.term.number,
+      types: () => this.types,
+      capacityOf: (type) => this.capacityOf(type),
+      useSpot: settings.operator.useSpot,
+      ask: (rental) => this.cloud.send({ kind: 'rent', rental }),
+    });
     this.loadNodes();
     this.cloud.send({ kind: 'tick' });
     this.passSoon();
-    this.log.info({ jobs: this.jobs.size, unaccounted: this.unaccounted.size }, 'leader ready');
+    this.log.info({ jobs: this.store.jobs.size, unaccounted: this.unaccounted.size }, 'leader ready');
   }
 
   override stop(): void {
@@ -169,7 +169,7 @@
   /** Running tasks per job, for display. */
   runningCounts(): Record<string, number> {
     const counts: Record<string, number> = {};
-    for (const job of this.jobs.values()) {
+    for (const job of this.store.jobs.values()) {
       if (!job.isOpen) continue;
       let running = 0;
       for (const attempt of job.bound.values())
@@ -190,7 +190,8 @@
       case 'direct':
         return this.onDirect(message);
       case 'stored':
-        return this.onStored(message);
+        this.store.onStored(message);
+        return this.passSoon();
       case 'recorded':
         message.node.recording = false;
         if (message.result.outcome === 'applied') message.node.recorded = true;
@@ -244,7 +245,7 @@
     }
     for (const row of [...this.deps.mirror.startingWith(KEPT)]) {
       // Left of an earlier term: its deputy registers anew, or is gone.
-      void this.write([{ key: row.key, stamp: row.stamp }], [{ key: row.key, value: undefined }]);
+      void this.store.write([{ key: row.key, stamp: row.stamp }], [{ key: row.key, value: undefined }]);
     }
   }
 
@@ -280,38 +281,19 @@
   private onChanged(change: Change): void {
     if (isKeptKey(change.key)) this.onKept(change);
     if (isJobKey(change.key)) {
-      if (change.value !== undefined) this.takeJob(change.key, change.value, change.stamp);
+      if (change.value !== undefined) this.store.take(change.key, change.value, change.stamp);
       this.passSoon();
     }
   }
 
-  private takeJob(key: string, value: unknown, stamp: WireInt): void {
-    const uid = keyId(key);
-    const record = decodeJob(value);
-    if (!record) return;
-    let job = this.jobs.get(uid);
-    if (!job) {
-      // Of a cancelled job with its description still there, tasks may be left on machines.
-      if (!record.spec || record.phase === 'done') return;
-      job = new Job(uid, record, stamp, this.deps.settings.objectives);
-      for (let chunk = 1; chunk < chunkCount(record.tasks); chunk++) {
-        const row = this.deps.mirror.get(doneKey(uid, chunk));
-        if (!row) continue;
-        job.learnDone(chunk, String(row.value));
-        job.chunkStamps.set(chunk, row.stamp);
-      }
-      this.jobs.set(uid, job);
-      return;
-    }
-    if (stamp <= job.stamp) return;
-    job.stamp = stamp;
-    job.stored = record;
-    job.learnDone(0, record.done);
-    if (record.phase === 'cancelled' && job.phase !== 'cancelled') {
-      job.phase = 'cancelled';
-      this.log.info({ job: uid }, 'job cancelled');
-      for (const attempt of job.bound.values()) this.wantStop(attempt, 0);
-    }
+  private reread(key: string): void {
+    this.deps.mirror.sync().then(
+      () => {
+        const row = this.deps.mirror.get(key);
+        if (row) this.send({ kind: 'changed', change: row });
+      },
+      () => this.passSoon(),
+    );
   }
 
   private onExited(attempt: Attempt, cause: ExitCause): void {
@@ -352,65 +334,6 @@
     }
   }
 
-  /** Writes what changed of a job; one write at a time for each. */
-  private store(job: Job): void {
-    if (job.writing || !job.needsWrite) return;
-    job.writing = true;
-    // Few chunks at a time, so that a write fits the service's limits.
-    const chunks = [...job.dirtyChunks]
-      .slice(0, 4)
-      .map((c): [number, string] => [c, encodeDone(job.done, c)]);
-    const partial = chunks.length < job.dirtyChunks.size;
-    const record = job.record();
-    if (partial) {
-      record.phase = 'open';
-      record.tuple = job.stored.tuple;
-    }
-    const conditions: Condition[] = [{ key: `${JOBS}${job.uid}`, stamp: job.stamp }];
-    const operations: Operation[] = [{ key: `${JOBS}${job.uid}`, value: encodeJob(record) }];
-    for (const [chunk, value] of chunks) {
-      const key = doneKey(job.uid, chunk);
-      conditions.push({ key, stamp: job.chunkStamps.get(chunk) ?? 0 });
-      operations.push({ key, value });
-      job.dirtyChunks.delete(chunk);
-    }
-    void this.write(conditions, operations).then((result) =>
-      this.send({ kind: 'stored', job, result, record, chunks }),
-    );
-  }
-
-  /** Every write of a term stands under the condition that the term goes on. */
-  private write(conditions: Condition[], operations: Operation[]): Promise<WriteOutcome> {
-    const fence = { key: LEADER_KEY, stamp: this.deps.term.stamp };
-    return this.deps.writer.commit([fence, ...conditions], operations, STORE_TIMEOUT_MS);
-  }
-
-  private onStored({ job, result, record, chunks }: Extract<Message, { kind: 'stored' }>): void {
-    job.writing = false;
-    if (result.outcome === 'applied') {
-      job.stamp = result.epoch;
-      job.stored = record;
-      job.learnStored(record.done, chunks, result.epoch);
-      if (record.phase === 'done') this.logDone(job);
-      this.passSoon();
-      return;
-    }
-    for (const [chunk] of chunks) job.dirtyChunks.add(chunk);
-    // Changed by another (a cancellation), or not known: what stands there decides.
-    this.deps.mirror.sync().then(
-      () => {
-        const row = this.deps.mirror.get(`${JOBS}${job.uid}`);
-        if (row) this.send({ kind: 'changed', change: row });
-      },
-      () => this.passSoon(),
-    );
-  }
-
-  private logDone(job: Job): void {
-    const tookS = Math.round((this.deps.clock.wallMs() - job.acceptedMs) / 1000);
-    this.log.info({ job: job.uid, tookS, dueS: job.spec.dueS }, 'job done');
-  }
-
   // --- machines --------------------------------------------------------------------------------------
 
   private record(node: Node, booting: boolean): void {
@@ -419,7 +342,7 @@
     const key = nodeKey(node.name);
     const value = { t: node.type, z: node.zone, s: node.spot ? 1 : 0, a: node.address, b: booting ? 1 : 0 };
     const stamp = this.deps.mirror.get(key)?.stamp ?? 0;
-    void this.write([{ key, stamp }], [{ key, value }]).then((result) => {
+    void this.store.write([{ key, stamp }], [{ key, value }]).then((result) => {
       if (booting) node.recording = false;
       else this.send({ kind: 'recorded', node, result });
     });
@@ -429,7 +352,8 @@
     this.ledger.removeNode(node);
     this.account(node);
     const row = this.deps.mirror.get(nodeKey(node.name));
-    if (row) void this.write([{ key: row.key, stamp: row.stamp }], [{ key: row.key, value: undefined }]);
+    if (row)
+      void this.store.write([{ key: row.key, stamp: row.stamp }], [{ key: row.key, value: undefined }]);
   }
 
   private onReport(report: Report, respond: Respond): void {
@@ -491,26 +415,6 @@
     return this.recovered || !job.inherited;
   }
 
-  private isUsable(node: Node, now: number): boolean {
-    return (
-      node.reportedMs > now - SILENT_REPORTS * this.deps.settings.reportS * 1000 &&
-      node.current &&
-      !node.returning &&
-      node.takenMs === Infinity &&
-      !this.isFaulty(node)
-    );
-  }
-
-  private isFaulty(node: Node): boolean {
-    let elsewhere = 0;
-    for (const uid of node.failedJobs) {
-      const job = this.jobs.get(uid);
-      // A job that failed on several machines has the mistake itself.
-      if (job && job.failedOn.size <= FAULTY_AFTER_JOBS) elsewhere++;
-    }
-    return elsewhere >= FAULTY_AFTER_JOBS;
-  }
-
   /** Sends commands straight to a worker; used where waiting for its next report would cost time. */
   private direct(node: Node, now: number): void {
     if (
@@ -575,24 +479,19 @@
       case 'catalog':
         return this.onCatalog(event.types);
       case 'rented': {
-        this.rentals.delete(event.rental.name);
-        const { offer, count } = event.rental;
+        const { offer } = event.rental;
+        this.renter.rented(event.rental, event.names.length, now);
         for (const name of event.names) {
           if (this.ledger.nodes.has(name)) continue;
           const capacity = this.capacityOf(offer.type);
           this.record(this.ledger.addNode({ name, address: '', ...offer, capacity }, now), true);
         }
         this.log.info({ ...offer, names: event.names }, 'machines rented');
-        if (event.names.length < count) this.refusedUntil.set(offerKey(offer), now + REFUSED_MS);
         break;
       }
       case 'notRented':
-        this.rentals.delete(event.rental.name);
+        this.renter.notRented(event.rental, event.reason, now);
         this.log.info({ ...event.rental.offer, reason: event.reason }, 'nothing rented');
-        this.refusedUntil.set(
-          offerKey(event.rental.offer),
-          now + (event.reason === 'no capacity' ? REFUSED_MS : REFUSED_MS / 4),
-        );
         break;
       case 'returned':
         this.log.info({ names: event.names }, 'machines returned');
@@ -603,7 +502,7 @@
         }
         break;
       case 'listed':
-        this.listed = true;
+        this.renter.listed = true;
         this.onListed(event, now);
     }
     this.passSoon();
@@ -622,7 +521,10 @@
       );
     // Spot prices move all the time; the others only need to know what exists.
     if (row && formatJson(fixed) === formatJson(known)) return;
-    void this.write([{ key: CATALOG_KEY, stamp: row?.stamp ?? 0 }], [{ key: CATALOG_KEY, value: types }]);
+    void this.store.write(
+      [{ key: CATALOG_KEY, stamp: row?.stamp ?? 0 }],
+      [{ key: CATALOG_KEY, value: types }],
+    );
   }
 
   private onListed({ nodes, askedMs }: Extract<CloudEvent, { kind: 'listed' }>, now: number): void {
@@ -644,7 +546,7 @@
     // A machine missing from the list proves nothing about its tasks; deleting it does, and costs nothing.
     for (const node of this.ledger.nodes.values()) {
       const missing = askedMs - Math.max(node.listedMs, node.rentedMs) > lagMs;
-      if (missing && this.isLost(node, now)) this.giveBack(node, 'not listed');
+      if (missing && this.health.isLost(node, now)) this.giveBack(node, 'not listed');
     }
   }
 
@@ -655,12 +557,6 @@
     this.cloud.send({ kind: 'giveBack', names: [node.name] });
   }
 
-  private isLost(node: Node, now: number): boolean {
-    if (this.isKept(node)) return false;
-    const since = Math.max(node.reportedMs, this.startedMs);
-    return now - since > LOST_REPORTS * this.deps.settings.reportS * 1000;
-  }
-
   // --- the pass --------------------------------------------------------------------------------------
 
   private passSoon(): void {
@@ -681,7 +577,7 @@
     this.passDueMs = Infinity;
     this.checkNodes(now);
     const open: Job[] = [];
-    for (const job of this.jobs.values()) {
+    for (const job of this.store.jobs.values()) {
       const ended = this.checkJob(job);
       if (!ended && job.isOpen) open.push(job);
     }
@@ -689,14 +585,14 @@
     const wallMs = this.deps.clock.wallMs();
     const due = new Map(open.map((job) => [job, job.dueMs(wallMs)]));
     open.sort(byRelease(within, (job) => due.get(job)!));
-    const waiting = this.place(open, now);
-    for (const job of open) this.store(job);
-    this.rent(waiting, now);
-    this.preempt(waiting, within, now);
+    const waiting = this.placer.place(open, now);
+    for (const job of open) this.store.store(job);
+    this.renter.rent(waiting, now);
+    this.placer.preempt(waiting, within, now);
     this.returnIdle(now);
     for (const node of this.ledger.nodes.values()) this.direct(node, now);
     this.fenceLostStarts(now);
-    if (this.isDeaf(now)) {
+    if (this.health.isDeaf(now)) {
       this.log.info('most machines are not heard of: making way');
       this.deps.onFailure(undefined);
       return;
@@ -709,7 +605,7 @@
       if (now > node.leaseEndMs && node.leaseEndMs !== -Infinity) {
         this.confirmFence(node);
       }
-      if (!this.isUsable(node, now)) {
+      if (!this.health.isUsable(node, now)) {
         for (const attempt of [...node.attempts.values()]) {
           if (attempt.state === 'planned' && attempt.direct === 'none') this.ledger.unplan(attempt);
         }
@@ -756,7 +652,7 @@
 
   /** A machine that the cloud is about to take, or that is faulty: tasks that can save do, replicas move. */
   private drain(node: Node, now: number): void {
-    if (this.isFaulty(node) && node.attempts.size === 0) return this.giveBack(node, 'faulty');
+    if (this.health.isFaulty(node) && node.attempts.size === 0) return this.giveBack(node, 'faulty');
     const leftS = (node.takenMs - now) / 1000;
     if (leftS === Infinity) return;
     for (const attempt of node.attempts.values()) {
@@ -776,247 +672,27 @@
       if (end === 'acceptable') for (const attempt of job.bound.values()) this.wantStop(attempt, 0);
       if (job.isOpen) return false;
     }
-    if (this.recovered || job.phase === 'done') this.store(job);
+    if (this.recovered || job.phase === 'done') this.store.store(job);
     const left = job.bound.size > 0 || job.writing || job.needsWrite;
-    if (!left) this.jobs.delete(job.uid);
+    if (!left) this.store.jobs.delete(job.uid);
     return !left;
   }
 
-  private place(open: Job[], now: number): Job[] {
-    const nodes = [...this.ledger.nodes.values()].filter((node) => this.isUsable(node, now) && node.recorded);
-    const waiting: Job[] = [];
-    let starts = 0;
-    for (const job of open) {
-      const held = now < job.notBeforeMs || (!this.recovered && job.inherited);
-      let task = held ? -1 : job.nextPending();
-      let room = held ? 0 : this.teamRoomOf(job);
-      while (task >= 0 && room > 0 && starts < STARTS_PER_PASS) {
-        const node = chooseNode(
-          { spec: job.spec, zones: job.zones, avoid: job.failedOn },
-          nodes,
-          (n) => this.ledger.free(n),
-          (n) => this.fetchS(n, job),
-        );
-        if (!node) break;
-        job.release();
-        const number = this.deps.term.number * ATTEMPTS_PER_TERM + ++this.attemptSeq;
-        this.ledger.plan(job, task, number, node, now);
-        node.idleSinceMs = Infinity;
-        starts++;
-        room--;
-        task = job.nextPending(task + 1);
-      }
-      if (job.pending > 0 && !held) {
-        if (Number.isNaN(job.waitingSinceMs)) job.waitingSinceMs = now;
-        waiting.push(job);
-      } else {
-        job.waitingSinceMs = NaN;
-      }
-    }
-    return waiting;
-  }
-
-  /** Room under the team's limit; while machines are not accounted for, what may run there counts as used. */
-  private teamRoomOf(job: Job, promised?: Resources): number {
-    const limit = this.limits.get(job.spec.team);
-    if (!limit) return 0;
-    const used = { ...this.ledger.usage(job.spec.team) };
-    if (promised) {
-      used.cpus += promised.cpus;
-      used.accelerators += promised.accelerators;
-    }
-    if (!this.recovered) {
-      for (const other of this.jobs.values()) {
-        if (other.spec.team !== job.spec.team || !other.inherited) continue;
-        used.cpus += other.pending * other.spec.cpus;
-        used.accelerators += other.pending * other.spec.accelerators;
-      }
-    }
-    return teamRoom(limit, used, job.spec);
-  }
-
-  private fetchS(node: Node, job: Job): number {
-    if (node.images.has(job.spec.image)) return 0;
-    return job.spec.imageGb / (this.types.get(node.type)?.pullGbPerS ?? 1);
-  }
-
-  private rent(waiting: Job[], now: number): void {
-    // Machines that an earlier leader rented show in the list; without it they would be rented twice.
-    if (this.types.size === 0 || !this.listed) return;
-    const demands: Demand[] = [];
-    const promised = new Map<string, Resources>();
-    for (const job of waiting) {
-      const leftS = this.leftS(job);
-      this.considerSpot(job, now);
-      // What is rented for one job of a team counts against the team's limit for its next.
-      const planned = promised.get(job.spec.team) ?? { cpus: 0, accelerators: 0, memGb: 0 };
-      const count = Math.min(job.pending, this.teamRoomOf(job, planned));
-      planned.cpus += count * job.spec.cpus;
-      planned.accelerators += count * job.spec.accelerators;
-      promised.set(job.spec.team, planned);
-      if (count > 0)
-        demands.push({
-          spec: job.spec,
-          expectedS: job.expectedS,
-          count,
-          zones: job.zones,
-          ordinary: job.mayRentOrdinary,
-          waitedS: (now - job.waitingSinceMs) / 1000,
-          leftS,
-        });
-    }
-    if (demands.length === 0) return;
-    const plans = planRentals(demands, this.coming(now), {
-      types: [...this.types.values()],
-      refused: (offer) => this.isRefused(offer, now),
-    });
-    for (const plan of plans) {
-      for (let left = plan.count; left > 0; left -= RENT_MAX) {
-        const name = `r-${this.deps.term.number}-${++this.rentalSeq}`;
-        const rental = { name, offer: plan.offer, count: Math.min(left, RENT_MAX) };
-        this.rentals.set(name, rental);
-        this.cloud.send({ kind: 'rent', rental });
-      }
-    }
-  }
-
-  /** The preferred member fails when no spot machine can be had. */
-  private considerSpot(job: Job, now: number): void {
-    if (!job.isOpen) return;
-    job.release();
-    if (!job.prefersSpot) return;
-    const offers = [...this.types.values()]
-      .filter((type) => slots(job.spec, type) > 0)
-      .flatMap((type) => type.zones.map((zone) => ({ type: type.name, zone, spot: true })));
-    // An ordinary machine of the same type boots no sooner: only its being there at all makes it better.
-    const available = offers.some((offer) => !this.isRefused(offer, now));
-    if (!available) job.failSpot();
-  }
-
-  private isRefused(offer: Offer, now: number): boolean {
-    if (offer.spot && !this.deps.settings.operator.useSpot) return true;
-    return (this.refusedUntil.get(offerKey(offer)) ?? -Infinity) > now;
-  }
-
-  /** Room on its way: machines that boot, and rentals without an answer yet. */
-  private coming(now: number): Coming[] {
-    const coming: Coming[] = [];
-    for (const node of this.ledger.nodes.values()) {
-      if (node.returning || this.isStuck(node, now)) continue;
-      const { type, zone, spot, capacity } = node;
-      const arriving = node.reportedMs > -Infinity && (!node.recorded || !node.current);
-      if (this.isBooting(node) || arriving) {
-        const bootS = this.types.get(type)?.bootS ?? 0;
-        const readyS = arriving ? 1 : Math.max(1, bootS - (now - node.rentedMs) / 1000) + START_EXTRA_S;
-        coming.push({ type, zone, spot, free: capacity, readyS, busy: false });
-      } else if (this.isUsable(node, now)) {
-        for (const attempt of node.attempts.values()) {
-          const readyS = this.remainingS(attempt, now);
-          if (readyS < Infinity) coming.push({ type, zone, spot, free: attempt.size, readyS, busy: true });
-        }
-      }
-    }
-    for (const { offer, count } of this.rentals.values()) {
-      const readyS = (this.types.get(offer.type)?.bootS ?? 0) + START_EXTRA_S;
-      for (let i = 0; i < count; i++)
-        coming.push({ ...offer, free: this.capacityOf(offer.type), readyS, busy: false });
-    }
-    return coming;
-  }
-
-  /** Never reported in this term, and by the records never held a task. */
-  private isBooting(node: Node): boolean {
-    return node.reportedMs === -Infinity && !node.recorded;
-  }
-
-  /** Seconds until a task's end by its owner's guess; once that has passed, a part of what it has run. */
-  private remainingS(attempt: Attempt, now: number): number {
-    if (!attempt.job || attempt.job.isService || attempt.state === 'exited') return Infinity;
-    const ranS = (now - attempt.startedMs) / 1000;
-    return Math.max(attempt.job.expectedS - ranS, ranS * OVERRUN_SHARE);
-  }
-
-  private isStuck(node: Node, now: number): boolean {
-    if (!this.isBooting(node) || now - this.startedMs < STUCK_BOOT_MIN_MS / 2) return false;
-    const bootMs = (this.types.get(node.type)?.bootS ?? 60) * 1000;
-    return now - node.rentedMs > Math.max(STUCK_BOOT_MIN_MS, bootMs * STUCK_BOOT_RATIO);
-  }
-
-  /** Seconds to the deadline that orders the job's release. */
-  private leftS(job: Job): number {
-    const wallMs = this.deps.clock.wallMs();
-    return (job.dueMs(wallMs) - wallMs) / 1000;
-  }
-
-  /** What stopping a task costs, in seconds: its work, and its job's deadline if that could be met until now. */
-  private stopLossS(victim: Attempt, now: number): number {
-    const job = victim.job!;
-    const ranS = (now - victim.startedMs) / 1000;
-    const leftS = this.leftS(job);
-    const misses = leftS >= this.remainingS(victim, now) && leftS < job.expectedS;
-    return ranS + (misses ? MISS_PENALTY_S : 0);
-  }
-
-  /** Makes room for what waits, out of what may be stopped for it. */
-  private preempt(waiting: Job[], within: ReadonlySet<Job>, now: number): void {
-    const nodes = [...this.ledger.nodes.values()].filter((node) => this.isUsable(node, now) && node.recorded);
-    const promised = new Map<Node, Resources>();
-    const roomOf = (node: Node): Resources => {
-      const room = { ...this.ledger.free(node) };
-      const taken = promised.get(node);
-      if (taken) addTo(room, taken, -1);
-      return room;
-    };
-    for (const job of waiting) {
-      const afterMs = job.rank === 'prod' ? PREEMPT_PROD_AFTER_MS : PREEMPT_AFTER_MS;
-      if (now - job.waitingSinceMs < afterMs) continue;
-      const mayStop = (victim: Job): boolean => this.mayPreempt(job, victim, within);
-      const zones = new Map(job.zones);
-      for (let left = Math.min(job.pending, this.teamRoomOf(job)); left > 0; left--) {
-        const clearing = chooseClearing(
-          job,
-          nodes,
-          zones,
-          roomOf,
-          (n) => this.fetchS(n, job),
-          mayStop,
-          (v) => this.stopLossS(v, now),
-        );
-        if (!clearing) break;
-        const { node, victims } = clearing;
-        const taken = promised.get(node) ?? { cpus: 0, accelerators: 0, memGb: 0 };
-        promised.set(node, taken);
-        addTo(taken, job.spec, 1);
-        // What is stopped for this task is room promised to it, and counts as room from the next look on.
-        for (const victim of victims) {
-          this.log.info({ task: `${victim.uid}/${victim.index}`, for: job.uid }, 'task preempted');
-          this.wantStop(victim, victim.job!.spec.saveS);
-        }
-        zones.set(node.zone, (zones.get(node.zone) ?? 0) + 1);
-      }
-    }
-  }
-
-  private mayPreempt(job: Job, victim: Job, within: ReadonlySet<Job>): boolean {
-    const ranks = ['prod', 'high', 'standard', 'idle'];
-    if (ranks.indexOf(victim.rank) > ranks.indexOf(job.rank)) return true;
-    if (!within.has(job) || victim.spec.team === job.spec.team || within.has(victim)) return false;
-    const limit = this.limits.get(victim.spec.team);
-    const used = this.ledger.usage(victim.spec.team);
-    return limit !== undefined && used.cpus - victim.spec.cpus >= limit.cpus;
-  }
-
   private returnIdle(now: number): void {
     const keepMs = this.deps.settings.operator.idleKeepS * 1000;
     for (const node of this.ledger.nodes.values()) {
       if (node.returning) continue;
-      if (this.isStuck(node, now)) this.giveBack(node, 'never came up');
-      if (this.isBooting(node)) continue;
+      if (this.health.isStuck(node, now)) this.giveBack(node, 'never came up');
+      if (this.health.isBooting(node)) continue;
       // In a zone cut off from us, machines go on and turn to the controller there.
       if (this.deps.zoneSilent(node.zone) && now < node.leaseEndMs) continue;
-      if (this.isLost(node, now) && this.fewLost(now)) {
+      if (this.health.isLost(node, now) && this.health.fewLost(now)) {
         this.giveBack(node, 'silent');
-      } else if (this.isUsable(node, now) && node.attempts.size === 0 && this.ledgerIdle(node, now, keepMs)) {
+      } else if (
+        this.health.isUsable(node, now) &&
+        node.attempts.size === 0 &&
+        this.ledgerIdle(node, now, keepMs)
+      ) {
         this.giveBack(node, 'idle');
       }
     }
@@ -1025,36 +701,6 @@
   private ledgerIdle(node: Node, now: number, keepMs: number): boolean {
     return now - node.idleSinceMs > keepMs && now - node.rentedMs > LEAST_CHARGE_MS;
   }
-
-  /**
-   * Most machines fell silent together: rather we are cut off from them than they are all dead. Another controller
-   * may still be heard by them before their leases run out.
-   */
-  private isDeaf(now: number): boolean {
-    if (now - this.startedMs < DEAF_AFTER_MS) return false;
-    let silent = 0;
-    let all = 0;
-    for (const node of this.ledger.nodes.values()) {
-      if (node.reportedMs === -Infinity || now > node.leaseEndMs) continue;
-      // In a zone whose controllers are not heard of either, a deputy keeps the leases.
-      if (this.deps.zoneSilent(node.zone)) continue;
-      all++;
-      if (this.isLost(node, now)) silent++;
-    }
-    return all >= HANDOVER_MACHINES && silent > all * DEAF_SHARE;
-  }
-
-  /** Many silent machines at once are more likely cut off from us than dead. */
-  private fewLost(now: number): boolean {
-    let lost = 0;
-    let all = 0;
-    for (const node of this.ledger.nodes.values()) {
-      if (this.isBooting(node)) continue;
-      all++;
-      if (this.isLost(node, now)) lost++;
-    }
-    return lost <= Math.max(2, all / 4);
-  }
 }
 
 function safeReport(body: string): Report | undefined {
--- /dev/null
+++ b/src/placement/renter.ts
@@ -0,0 +1,126 @@
+import type { Rental } from '../cloud/cloud.js';
+import { offerKey, type MachineType, type Offer } from '../cloud/codec.js';
+import { REFUSED_MS, RENT_MAX, START_EXTRA_S } from '../constants.js';
+import type { Health } from '../fleet/health.js';
+import type { Ledger, Resources } from '../fleet/ledger.js';
+import type { Job } from '../pipeline/job.js';
+import type { Placer } from './placer.js';
+import { planRentals, type Coming, type Demand } from './rent.js';
+import { slots } from './rules.js';
+
+export interface RenterDeps {
+  ledger: Ledger;
+  health: Health;
+  placer: Placer;
+  /** Number of the leader's term. */
+  term: number;
+  types: () => ReadonlyMap<string, MachineType>;
+  capacityOf: (type: string) => Resources;
+  useSpot: boolean;
+  ask: (rental: Rental) => void;
+}
+
+/** Rents machines for what waits and finds no room. */
+export class Renter {
+  private readonly rentals = new Map<string, Rental>();
+  private readonly refusedUntil = new Map<string, number>();
+  private rentalSeq = 0;
+  /** Machines that an earlier leader rented show in the list; without it they would be rented twice. */
+  listed = false;
+
+  constructor(private readonly deps: RenterDeps) {}
+
+  /** The cloud has answered: fewer than asked for means that there are no more for now. */
+  rented({ name, offer, count }: Rental, got: number, now: number): void {
+    this.rentals.delete(name);
+    if (got < count) this.refusedUntil.set(offerKey(offer), now + REFUSED_MS);
+  }
+
+  notRented({ name, offer }: Rental, reason: 'no capacity' | 'trouble', now: number): void {
+    this.rentals.delete(name);
+    this.refusedUntil.set(offerKey(offer), now + (reason === 'no capacity' ? REFUSED_MS : REFUSED_MS / 4));
+  }
+
+  rent(waiting: Job[], now: number): void {
+    if (this.deps.types().size === 0 || !this.listed) return;
+    const demands: Demand[] = [];
+    const promised = new Map<string, Resources>();
+    for (const job of waiting) {
+      const leftS = this.deps.placer.leftS(job);
+      this.considerSpot(job, now);
+      // What is rented for one job of a team counts against the team's limit for its next.
+      const planned = promised.get(job.spec.team) ?? { cpus: 0, accelerators: 0, memGb: 0 };
+      const count = Math.min(job.pending, this.deps.placer.teamRoomOf(job, planned));
+      planned.cpus += count * job.spec.cpus;
+      planned.accelerators += count * job.spec.accelerators;
+      promised.set(job.spec.team, planned);
+      if (count > 0)
+        demands.push({
+          spec: job.spec,
+          expectedS: job.expectedS,
+          count,
+          zones: job.zones,
+          ordinary: job.mayRentOrdinary,
+          waitedS: (now - job.waitingSinceMs) / 1000,
+          leftS,
+        });
+    }
+    if (demands.length === 0) return;
+    const plans = planRentals(demands, this.coming(now), {
+      types: [...this.deps.types().values()],
+      refused: (offer) => this.isRefused(offer, now),
+    });
+    for (const plan of plans) {
+      for (let left = plan.count; left > 0; left -= RENT_MAX) {
+        const name = `r-${this.deps.term}-${++this.rentalSeq}`;
+        const rental = { name, offer: plan.offer, count: Math.min(left, RENT_MAX) };
+        this.rentals.set(name, rental);
+        this.deps.ask(rental);
+      }
+    }
+  }
+
+  /** The preferred member fails when no spot machine can be had. */
+  private considerSpot(job: Job, now: number): void {
+    if (!job.isOpen) return;
+    job.release();
+    if (!job.prefersSpot) return;
+    const offers = [...this.deps.types().values()]
+      .filter((type) => slots(job.spec, type) > 0)
+      .flatMap((type) => type.zones.map((zone) => ({ type: type.name, zone, spot: true })));
+    // An ordinary machine of the same type boots no sooner: only its being there at all makes it better.
+    const available = offers.some((offer) => !this.isRefused(offer, now));
+    if (!available) job.failSpot();
+  }
+
+  private isRefused(offer: Offer, now: number): boolean {
+    if (offer.spot && !this.deps.useSpot) return true;
+    return (this.refusedUntil.get(offerKey(offer)) ?? -Infinity) > now;
+  }
+
+  /** Room on its way: machines that boot, and rentals without an answer yet. */
+  private coming(now: number): Coming[] {
+    const coming: Coming[] = [];
+    for (const node of this.deps.ledger.nodes.values()) {
+      if (node.returning || this.deps.health.isStuck(node, now)) continue;
+      const { type, zone, spot, capacity } = node;
+      const arriving = node.reportedMs > -Infinity && (!node.recorded || !node.current);
+      if (this.deps.health.isBooting(node) || arriving) {
+        const bootS = this.deps.types().get(type)?.bootS ?? 0;
+        const readyS = arriving ? 1 : Math.max(1, bootS - (now - node.rentedMs) / 1000) + START_EXTRA_S;
+        coming.push({ type, zone, spot, free: capacity, readyS, busy: false });
+      } else if (this.deps.health.isUsable(node, now)) {
+        for (const attempt of node.attempts.values()) {
+          const readyS = this.deps.placer.remainingS(attempt, now);
+          if (readyS < Infinity) coming.push({ type, zone, spot, free: attempt.size, readyS, busy: true });
+        }
+      }
+    }
+    for (const { offer, count } of this.rentals.values()) {
+      const readyS = (this.deps.types().get(offer.type)?.bootS ?? 0) + START_EXTRA_S;
+      for (let i = 0; i < count; i++)
+        coming.push({ ...offer, free: this.deps.capacityOf(offer.type), readyS, busy: false });
+    }
+    return coming;
+  }
+}
