--- a/src/clock.ts
+++ b/src/clock.ts
@@ -29,12 +29,18 @@
 
   constructor(
     private readonly clock: Clock,
-    private readonly perSecond: number,
+    private perSecond: number,
   ) {
     this.tokens = Math.max(1, perSecond);
     this.filledMs = clock.steadyMs();
   }
 
+  /** From now on this much; what was saved up or is owed stays. */
+  setRate(perSecond: number): void {
+    this.waitMs(0);
+    this.perSecond = perSecond;
+  }
+
   /** Milliseconds until `count` may be spent. */
   waitMs(count: number): number {
     const now = this.clock.steadyMs();
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -43,6 +43,10 @@
 // --- state service ---------------------------------------------------------------------------------
 /** share of the service's rates that all controllers together plan for; the rest is clock error and retries. */
 export const STATE_RATE_USED = 0.9;
+/** share of the above that goes with the leadership: requests. The others' watches and polls need most of the rest. */
+export const LEADER_REQUESTS = 0.4;
+/** share of the above that goes with the leadership: writes. The others only write submissions and cancellations. */
+export const LEADER_WRITES = 0.7;
 /** ms: a call to the state service; answers take under 10 ms, now and then a few hundred. */
 export const STATE_CALL_MS = 1_500;
 /** ms: how long a watch is asked to wait; short enough to notice a lost connection. */
@@ -52,7 +56,15 @@
 /** ms: pause after a failed call before the next of the same kind. */
 export const STATE_RETRY_MS = 250;
 /** ms: least time between two coalesced reads for polls; bounds the requests spent on polls. */
-export const SYNC_SPACING_MS = 25;
+export const SYNC_SPACING_MS = 120;
+/** ms: least time between two watches; bounds the requests, and the parsing, that a stream of changes costs. */
+export const WATCH_SPACING_MS = 100;
+/** bytes: on the safe side, of one machine in the record of its group. */
+export const NODE_RECORD_BYTES = 128;
+/** ms: least time between two writes of one group of machines; those that come up meanwhile go together. */
+export const GROUP_SPACING_MS = 200;
+/** machines: that a deputy registers in one key; far below value_kb. */
+export const KEPT_BATCH = 100;
 /** rows: per page when everything is read at start. */
 export const LOAD_PAGE_ROWS = 500;
 /** bytes: of one transaction, below the service's 64 KiB to leave room for framing. */
@@ -166,6 +178,10 @@
 // --- placement -------------------------------------------------------------------------------------
 /** ms: passes of the scheduler are at least this far apart; events in between are taken together. */
 export const PASS_SPACING_MS = 60;
+/** ratio: passes take at most one part in this many of the processor; a slow controller looks less often. */
+export const PASS_REST = 4;
+/** ms: renting, and stopping others for arrays, are looked at this often; machines boot for many seconds. */
+export const RENT_SPACING_MS = 500;
 /** ms: a pass happens at least this often. */
 export const PASS_EVERY_MS = 1_000;
 /** starts: in one pass; holds back the stages after it. */
--- a/src/fleet/ledger.ts
+++ b/src/fleet/ledger.ts
@@ -49,7 +49,6 @@
   current: boolean;
   /** Whether its name stands in the state service, as it must before its first task. */
   recorded: boolean;
-  recording: boolean;
   rentedMs: number;
   listedMs: number;
   /** Steady ms when the cloud takes it; Infinity: no notice. */
@@ -99,7 +98,6 @@
       fencedSession: 0,
       current: false,
       recorded: false,
-      recording: false,
       rentedMs: nowMs,
       listedMs: -Infinity,
       takenMs: Infinity,
--- a/src/leadership/deputy.ts
+++ b/src/leadership/deputy.ts
@@ -1,13 +1,22 @@
 import type { Logger } from 'pino';
 import { Actor } from '../actor.js';
 import type { Clock } from '../clock.js';
-import { DEPUTY_AFTER_MS, DEPUTY_FRESH_MS, DEPUTY_TICK_MS } from '../constants.js';
+import { DEPUTY_AFTER_MS, DEPUTY_FRESH_MS, DEPUTY_TICK_MS, KEPT_BATCH } from '../constants.js';
 import { encodeOrders, type Order, type Report } from '../fleet/codec.js';
 import type { Respond } from '../http/message.js';
 import type { Mirror } from '../state/mirror.js';
-import { decodeJob, jobKey, keptKey, LEADER_KEY, nodeKey } from '../state/records.js';
+import {
+  decodeGroup,
+  decodeJob,
+  encodeKept,
+  GROUPS,
+  jobKey,
+  KEPT,
+  keptKey,
+  LEADER_KEY,
+} from '../state/records.js';
 import type { Writer } from '../state/writer.js';
-import { formatJson, isObject } from '../wire/json.js';
+import { formatJson, isObject, type WireInt } from '../wire/json.js';
 
 export interface DeputyDeps {
   member: string;
@@ -19,10 +28,16 @@
   heardMs: (member: string) => number;
 }
 
+/** A report that waits for its answer. */
+interface Asking {
+  report: Report;
+  respond: Respond;
+}
+
 type Message =
-  | { kind: 'report'; report: Report; respond: Respond }
-  | { kind: 'synced'; report: Report; respond: Respond; freshMs: number }
-  | { kind: 'registered'; report: Report; respond: Respond; freshMs: number; term: number; done: boolean }
+  | ({ kind: 'report' } & Asking)
+  | ({ kind: 'synced'; freshMs: number } & Asking)
+  | { kind: 'registered'; batch: Asking[]; term: number; done: boolean }
   | { kind: 'tick' };
 
 const NOT_ENTITLED = { status: 503, body: '{}' };
@@ -35,6 +50,9 @@
 export class Deputy extends Actor<Message> {
   /** Machines registered by this controller, under the term in which they were. */
   private readonly kept = new Map<string, number>();
+  private readonly unregistered: Asking[] = [];
+  private registering = false;
+  private batches = 0;
   private heardSinceMs = Infinity;
 
   constructor(private readonly deps: DeputyDeps) {
@@ -59,24 +77,23 @@
   protected receive(message: Message): void {
     switch (message.kind) {
       case 'report':
-        return this.onReport(message.report, message.respond);
+        return this.onReport(message);
       case 'synced':
         return this.onSynced(message);
       case 'registered':
-        if (message.done) this.kept.set(message.report.node, message.term);
-        return message.done ? this.answer(message) : message.respond(NOT_ENTITLED);
+        return this.onRegistered(message);
       case 'tick':
         return this.release();
     }
   }
 
-  private leader(): { member: string; term: number; stamp: unknown } | undefined {
+  private leader(): { member: string; term: number; stamp: WireInt } | undefined {
     const row = this.deps.mirror.get(LEADER_KEY);
     if (!row || !isObject(row.value)) return undefined;
     return { member: String(row.value.member), term: Number(row.value.term), stamp: row.stamp };
   }
 
-  private onReport(report: Report, respond: Respond): void {
+  private onReport({ report, respond }: Asking): void {
     const freshMs = this.deps.clock.steadyMs();
     this.deps.mirror.sync().then(
       () => this.send({ kind: 'synced', report, respond, freshMs }),
@@ -85,10 +102,9 @@
   }
 
   private onSynced({ report, respond, freshMs }: Extract<Message, { kind: 'synced' }>): void {
-    const { mirror, writer, member } = this.deps;
     const leader = this.leader();
     // Only machines that the leader's records hold: others have no task to keep.
-    if (!leader || !this.wants() || report.token > leader.term || !mirror.get(nodeKey(report.node))) {
+    if (!leader || !this.wants() || report.token > leader.term || !this.isRecorded(report.node)) {
       respond(NOT_ENTITLED);
       return;
     }
@@ -96,17 +112,54 @@
       this.answer({ report, respond, freshMs });
       return;
     }
-    const key = keptKey(report.node, member);
-    const fence = { key: LEADER_KEY, stamp: mirror.get(LEADER_KEY)!.stamp };
-    const own = { key, stamp: mirror.get(key)?.stamp ?? 0 };
-    const { term } = leader;
-    this.deps.log.info({ node: report.node, term }, 'keeping the lease of a machine cut off from the leader');
-    void writer.commit([fence, own], [{ key, value: { term } }], DEPUTY_FRESH_MS).then((result) => {
-      this.send({ kind: 'registered', report, respond, freshMs, term, done: result.outcome === 'applied' });
-    });
+    this.unregistered.push({ report, respond });
+    this.register();
+  }
+
+  private isRecorded(node: string): boolean {
+    for (const row of this.deps.mirror.startingWith(GROUPS))
+      if (decodeGroup(row.value)?.members.has(node)) return true;
+    return false;
+  }
+
+  /** One write at a time, of all machines that came meanwhile: hundreds turn up at once when zones are cut. */
+  private register(): void {
+    const leader = this.leader();
+    if (this.registering || this.unregistered.length === 0) return;
+    const batch = this.unregistered.splice(0, KEPT_BATCH);
+    if (!leader) {
+      for (const { respond } of batch) respond(NOT_ENTITLED);
+      return;
+    }
+    this.registering = true;
+    const { mirror, writer, member, log } = this.deps;
+    const { term, stamp } = leader;
+    const key = keptKey(member, `${term}-${++this.batches}`);
+    const nodes = batch.map(({ report }) => report.node);
+    log.info({ nodes, term }, 'keeping the leases of machines cut off from the leader');
+    const conditions = [
+      { key: LEADER_KEY, stamp },
+      { key, stamp: mirror.get(key)?.stamp ?? 0 },
+    ];
+    void writer
+      .commit(conditions, [{ key, value: encodeKept({ term, nodes }) }], DEPUTY_FRESH_MS)
+      .then((result) => {
+        this.send({ kind: 'registered', batch, term, done: result.outcome === 'applied' });
+      });
+  }
+
+  private onRegistered({ batch, term, done }: Extract<Message, { kind: 'registered' }>): void {
+    this.registering = false;
+    for (const { report, respond } of batch) {
+      if (done) this.kept.set(report.node, term);
+      // An answer rests on a read of its own: the write may have taken long.
+      if (done) this.onReport({ report, respond });
+      else respond(NOT_ENTITLED);
+    }
+    this.register();
   }
 
-  private answer({ report, respond, freshMs }: { report: Report; respond: Respond; freshMs: number }): void {
+  private answer({ report, respond, freshMs }: Asking & { freshMs: number }): void {
     const term = this.kept.get(report.node);
     const orders: Order[] = [];
     for (const task of report.tasks) {
@@ -124,21 +177,22 @@
   /** Once the leader is heard again and no answer can be under way, the machines are its own again. */
   private release(): void {
     const now = this.deps.clock.steadyMs();
-    if (this.kept.size === 0 || this.wants()) {
+    const own = keptKey(this.deps.member, '');
+    const rows = [...this.deps.mirror.startingWith(KEPT)].filter((row) => row.key.startsWith(own));
+    // The rows count too: a registration without an answer may be applied late.
+    if ((this.kept.size === 0 && rows.length === 0) || this.wants()) {
       this.heardSinceMs = Infinity;
       return;
     }
     this.heardSinceMs = Math.min(this.heardSinceMs, now);
     if (now - this.heardSinceMs <= 2 * DEPUTY_FRESH_MS) return;
-    for (const node of this.kept.keys()) {
-      this.kept.delete(node);
-      const row = this.deps.mirror.get(keptKey(node, this.deps.member));
-      if (row)
-        void this.deps.writer.commit(
-          [{ key: row.key, stamp: row.stamp }],
-          [{ key: row.key, value: undefined }],
-          10 * DEPUTY_FRESH_MS,
-        );
+    this.kept.clear();
+    for (const row of rows) {
+      void this.deps.writer.commit(
+        [{ key: row.key, stamp: row.stamp }],
+        [{ key: row.key, value: undefined }],
+        10 * DEPUTY_FRESH_MS,
+      );
     }
   }
 }
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -21,7 +21,7 @@
 } from '../constants.js';
 import type { StateClient, TxnResult } from '../state/client.js';
 import type { Mirror } from '../state/mirror.js';
-import { LEADER_KEY, NODES, TERM_KEY } from '../state/records.js';
+import { decodeGroup, GROUPS, LEADER_KEY, TERM_KEY } from '../state/records.js';
 import { isObject, type WireInt } from '../wire/json.js';
 import { Authority } from './authority.js';
 import type { Peer, PeerChannel, PeerMessage } from './peers.js';
@@ -198,9 +198,9 @@
   /** Machines per zone, by the records of the leaders. */
   private machinesByZone(): Map<string, number> {
     const counts = new Map<string, number>();
-    for (const row of this.mirror.startingWith(NODES)) {
-      const zone = isObject(row.value) ? String(row.value.z) : '';
-      counts.set(zone, (counts.get(zone) ?? 0) + 1);
+    for (const row of this.mirror.startingWith(GROUPS)) {
+      const group = decodeGroup(row.value);
+      if (group) counts.set(group.zone, (counts.get(group.zone) ?? 0) + group.members.size);
     }
     return counts;
   }
@@ -313,6 +313,7 @@
     };
     this.mirror.confirm(LEADER_KEY, { member: this.self.member, term: number }, result.epoch);
     this.mirror.confirm(TERM_KEY, { term: number }, result.epoch);
+    this.client.setLeading(true);
     this.log.info({ term: number }, 'leading');
     this.events.elected(this.leading.term);
   }
@@ -347,6 +348,7 @@
   private lose(reason: string): void {
     const { term, hold } = this.leading!;
     term.authority.ended();
+    this.client.setLeading(false);
     this.leading = undefined;
     this.asked = undefined;
     this.log.info({ term: term.number, reason }, 'no longer leading');
--- a/src/leadership/leader.ts
+++ b/src/leadership/leader.ts
@@ -18,6 +18,7 @@
 import { Health } from '../fleet/health.js';
 import { leaseEndMs } from '../fleet/lease.js';
 import { Ledger, type Attempt, type Node } from '../fleet/ledger.js';
+import { NodeRecords, type GroupEnd } from '../fleet/node-records.js';
 import { CallError, type HttpCaller, type Respond } from '../http/message.js';
 import type { Job } from '../pipeline/job.js';
 import { byRelease, withinGuarantee } from '../placement/order.js';
@@ -27,9 +28,9 @@
 import type { Settings } from '../settings.js';
 import type { Change } from '../state/client.js';
 import type { Mirror } from '../state/mirror.js';
-import { CATALOG_KEY, KEPT, NODES, isJobKey, isKeptKey, keptNode, keyId, nodeKey } from '../state/records.js';
-import type { Writer, WriteOutcome } from '../state/writer.js';
-import { formatJson, isObject, parseJson, type WireInt } from '../wire/json.js';
+import { CATALOG_KEY, KEPT, decodeKept, isJobKey, isKeptKey } from '../state/records.js';
+import type { Writer } from '../state/writer.js';
+import { formatJson, parseJson, type WireInt } from '../wire/json.js';
 import type { Term } from './election.js';
 import { JobStore, type StoreEnd } from './job-store.js';
 
@@ -60,7 +61,7 @@
       failure?: 'unsent' | 'unclear';
     }
   | ({ kind: 'stored' } & StoreEnd)
-  | { kind: 'recorded'; node: Node; result: WriteOutcome }
+  | { kind: 'recorded'; end: GroupEnd }
   | { kind: 'fence'; node: Node; leaseEndMs: number; confirmed: boolean }
   | { kind: 'pass' };
 
@@ -70,6 +71,7 @@
  */
 export class Leader extends Actor<Message> {
   private readonly store: JobStore;
+  private readonly records: NodeRecords;
   private readonly health: Health;
   private readonly placer: Placer;
   private readonly renter: Renter;
@@ -79,8 +81,9 @@
   private types = new Map<string, MachineType>();
   /** Machines recorded by earlier terms, on which tasks may run that we don't know of. */
   private readonly unaccounted = new Set<Node>();
-  /** Keys of the machines whose leases deputies keep, with the machine's name. */
-  private readonly kept = new Map<string, string>();
+  /** What deputies have registered, per key, and the names of all machines whose leases they keep. */
+  private readonly kept = new Map<string, string[]>();
+  private keptNames = new Set<string>();
   private readonly fencing = new Set<Node>();
   /** Machines deleted lately, with when. */
   private readonly goneMs = new Map<string, number>();
@@ -154,6 +157,13 @@
       useSpot: settings.operator.useSpot,
       ask: (rental) => this.cloud.send({ kind: 'rent', rental }),
     });
+    this.records = new NodeRecords({
+      mirror: deps.mirror,
+      term: deps.term.number,
+      valueKb: settings.state.valueKb,
+      write: (conditions, operations) => this.store.write(conditions, operations),
+      written: (end) => this.send({ kind: 'recorded', end }),
+    });
     this.loadNodes();
     this.cloud.send({ kind: 'tick' });
     this.passSoon();
@@ -193,8 +203,7 @@
         this.store.onStored(message);
         return this.passSoon();
       case 'recorded':
-        message.node.recording = false;
-        if (message.result.outcome === 'applied') message.node.recorded = true;
+        this.records.onWritten(message.end);
         return this.passSoon();
       case 'fence':
         return this.onFence(message);
@@ -221,24 +230,10 @@
 
   private loadNodes(): void {
     const now = this.now();
-    for (const row of this.deps.mirror.startingWith(NODES)) {
-      if (!isObject(row.value)) continue;
-      const type = String(row.value.t);
-      const node = this.ledger.addNode(
-        {
-          name: keyId(row.key),
-          address: String(row.value.a ?? ''),
-          type,
-          zone: String(row.value.z),
-          spot: row.value.s === 1,
-          capacity: this.capacityOf(type),
-        },
-        now,
-      );
-      if (row.value.b === 1) continue;
+    for (const [node, used] of this.records.load(this.ledger, (type) => this.capacityOf(type), now)) {
+      if (!used) continue;
       // It may hold tasks: it counts until it reports with our token, is deleted, or its lease has surely run
       // out. Whoever led before us answered it before our term began at the latest.
-      node.recorded = true;
       // A deputy may have answered it for a moment longer.
       node.leaseEndMs = leaseEndMs(now + DEPUTY_FRESH_MS, this.deps.settings.leaseS);
       this.unaccounted.add(node);
@@ -262,20 +257,20 @@
 
   /** A deputy keeps the lease of a machine that is cut off from us, or gives it back. */
   private onKept(change: Change): void {
-    const node = this.ledger.nodes.get(keptNode(change.key));
-    const ours = isObject(change.value) && change.value.term === this.deps.term.number;
-    if (ours) {
-      this.kept.set(change.key, keptNode(change.key));
-      return;
+    const record = decodeKept(change.value);
+    const before = this.kept.get(change.key) ?? [];
+    if (record?.term === this.deps.term.number) this.kept.set(change.key, record.nodes);
+    else this.kept.delete(change.key);
+    this.keptNames = new Set([...this.kept.values()].flat());
+    for (const name of before) {
+      const node = this.ledger.nodes.get(name);
+      // It may have been answered until just now.
+      if (node && !this.keptNames.has(name)) this.ledger.answered(node, this.now());
     }
-    this.kept.delete(change.key);
-    // It may have been answered until just now.
-    if (node && change.value === undefined) this.ledger.answered(node, this.now());
   }
 
   private isKept(node: Node): boolean {
-    for (const name of this.kept.values()) if (name === node.name) return true;
-    return false;
+    return this.keptNames.has(node.name);
   }
 
   private onChanged(change: Change): void {
@@ -336,24 +331,11 @@
 
   // --- machines --------------------------------------------------------------------------------------
 
-  private record(node: Node, booting: boolean): void {
-    if (node.recording) return;
-    node.recording = true;
-    const key = nodeKey(node.name);
-    const value = { t: node.type, z: node.zone, s: node.spot ? 1 : 0, a: node.address, b: booting ? 1 : 0 };
-    const stamp = this.deps.mirror.get(key)?.stamp ?? 0;
-    void this.store.write([{ key, stamp }], [{ key, value }]).then((result) => {
-      if (booting) node.recording = false;
-      else this.send({ kind: 'recorded', node, result });
-    });
-  }
-
   private forget(node: Node): void {
     this.ledger.removeNode(node);
     this.account(node);
-    const row = this.deps.mirror.get(nodeKey(node.name));
-    if (row)
-      void this.store.write([{ key: row.key, stamp: row.stamp }], [{ key: row.key, value: undefined }]);
+    this.records.forget(node);
+    this.passSoon();
   }
 
   private onReport(report: Report, respond: Respond): void {
@@ -398,7 +380,7 @@
     }
     if (node.idleSinceMs === Infinity && node.attempts.size === 0) node.idleSinceMs = this.now();
     if (node.attempts.size > 0) node.idleSinceMs = Infinity;
-    if (!node.recorded) this.record(node, false);
+    if (!node.recorded) this.records.use(node);
   }
 
   private sent(attempt: Attempt, tick: WireInt, now: number): void {
@@ -481,11 +463,11 @@
       case 'rented': {
         const { offer } = event.rental;
         this.renter.rented(event.rental, event.names.length, now);
-        for (const name of event.names) {
-          if (this.ledger.nodes.has(name)) continue;
-          const capacity = this.capacityOf(offer.type);
-          this.record(this.ledger.addNode({ name, address: '', ...offer, capacity }, now), true);
-        }
+        const capacity = this.capacityOf(offer.type);
+        const names = event.names.filter((name) => !this.ledger.nodes.has(name));
+        this.records.add(
+          names.map((name) => this.ledger.addNode({ name, address: '', ...offer, capacity }, now)),
+        );
         this.log.info({ ...offer, names: event.names }, 'machines rented');
         break;
       }
@@ -587,6 +569,7 @@
     open.sort(byRelease(within, (job) => due.get(job)!));
     const waiting = this.placer.place(open, now);
     for (const job of open) this.store.store(job);
+    this.records.flush(now);
     this.renter.rent(waiting, now);
     this.placer.preempt(waiting, within, now);
     this.returnIdle(now);
@@ -597,7 +580,8 @@
       this.deps.onFailure(undefined);
       return;
     }
-    if (this.passDueMs === Infinity) this.schedulePass(now + PASS_EVERY_MS);
+    const groupsMs = Math.max(this.records.waitMs(now), PASS_SPACING_MS);
+    this.schedulePass(Math.min(this.passDueMs, now + Math.min(PASS_EVERY_MS, groupsMs)));
   }
 
   private checkNodes(now: number): void {
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -1,5 +1,11 @@
 import { RateBudget, sleep, type Clock } from '../clock.js';
-import { STATE_CALL_MS, STATE_RATE_USED, WATCH_GRACE_MS } from '../constants.js';
+import {
+  LEADER_REQUESTS,
+  LEADER_WRITES,
+  STATE_CALL_MS,
+  STATE_RATE_USED,
+  WATCH_GRACE_MS,
+} from '../constants.js';
 import { CallError, type HttpCaller, type HttpResponse } from '../http/message.js';
 import { formatJson, isObject, isWireInt, parseJson, type WireInt } from '../wire/json.js';
 
@@ -63,11 +69,22 @@
     private readonly address: string,
     private readonly clock: Clock,
     readonly limits: StateLimits,
-    controllers: number,
+    private readonly controllers: number,
   ) {
-    const share = STATE_RATE_USED / controllers;
-    this.requests = new RateBudget(clock, limits.rps * share);
-    this.writes = new RateBudget(clock, limits.writesPerS * share);
+    this.requests = new RateBudget(clock, 0);
+    this.writes = new RateBudget(clock, 0);
+    this.setLeading(false);
+  }
+
+  /**
+   * Who leads writes nearly everything, so a part of the service's rates goes with the leadership and the rest is
+   * split evenly. A leader that has just begun has nothing saved up, so the sum keeps within the rates around a change.
+   */
+  setLeading(leading: boolean): void {
+    const part = (forLeader: number): number =>
+      STATE_RATE_USED * ((1 - forLeader) / this.controllers + (leading ? forLeader : 0));
+    this.requests.setRate(this.limits.rps * part(LEADER_REQUESTS));
+    this.writes.setRate(this.limits.writesPerS * part(LEADER_WRITES));
   }
 
   async page(prefix: string, since: string | undefined, rows: number) {
--- a/src/state/mirror.ts
+++ b/src/state/mirror.ts
@@ -1,6 +1,12 @@
 import type { Logger } from 'pino';
 import { sleep, type Clock } from '../clock.js';
-import { LOAD_PAGE_ROWS, STATE_RETRY_MS, SYNC_SPACING_MS, WATCH_HOLD_MS } from '../constants.js';
+import {
+  LOAD_PAGE_ROWS,
+  STATE_RETRY_MS,
+  SYNC_SPACING_MS,
+  WATCH_HOLD_MS,
+  WATCH_SPACING_MS,
+} from '../constants.js';
 import type { WireInt } from '../wire/json.js';
 import { StateError, type Change, type Row, type StateClient } from './client.js';
 
@@ -9,7 +15,9 @@
  * state service held when `sync()` was called: one short read serves all callers that wait for it.
  */
 export class Mirror {
-  private rows = new Map<string, Row>();
+  private readonly rows = new Map<string, Row>();
+  /** The same rows by the part of their key that says what they are, as some are thousands and others a few. */
+  private readonly kinds = new Map<string, Map<string, Row>>();
   private epoch: WireInt = 0;
   private loaded = false;
   private stopped = false;
@@ -33,8 +41,9 @@
     return this.rows.get(key);
   }
 
-  *startingWith(prefix: string): Iterable<Row> {
-    for (const row of this.rows.values()) if (row.key.startsWith(prefix)) yield row;
+  /** All rows of one kind: `prefix` is a key's part up to its second slash. */
+  startingWith(prefix: string): Iterable<Row> {
+    return this.kinds.get(prefix)?.values() ?? [];
   }
 
   onChange(listener: (change: Change) => void): void {
@@ -50,8 +59,11 @@
     while (!this.stopped) {
       try {
         if (!this.loaded) await this.load();
+        const askedMs = this.clock.steadyMs();
         const { epoch, changes } = await this.client.follow(this.prefix, this.epoch, WATCH_HOLD_MS);
         this.take(changes, epoch);
+        const pause = askedMs + WATCH_SPACING_MS - this.clock.steadyMs();
+        if (pause > 0) await sleep(this.clock, pause);
       } catch (error) {
         this.onFailure(error);
         await sleep(this.clock, STATE_RETRY_MS);
@@ -111,9 +123,8 @@
       since = page.rows.at(-1)?.key;
       if (!page.more || since === undefined) break;
     }
-    const old = this.rows;
     this.epoch = first;
-    for (const [key, row] of old) {
+    for (const [key, row] of [...this.rows]) {
       if (!rows.has(key) && row.stamp <= first) this.apply({ key, value: undefined, stamp: first });
     }
     for (const row of rows.values()) if (this.rows.get(row.key)?.stamp !== row.stamp) this.apply(row);
@@ -130,11 +141,19 @@
     const known = this.rows.get(change.key);
     if (known && known.stamp >= change.stamp && !(known.stamp === change.stamp && change.value === undefined))
       return;
+    const kind = kindOf(change.key);
+    let rows = this.kinds.get(kind);
+    if (!rows) this.kinds.set(kind, (rows = new Map<string, Row>()));
     if (change.value === undefined) {
+      rows.delete(change.key);
       if (!this.rows.delete(change.key)) return;
     } else {
-      this.rows.set(change.key, { key: change.key, value: change.value, stamp: change.stamp });
+      const row = { key: change.key, value: change.value, stamp: change.stamp };
+      rows.set(change.key, row);
+      this.rows.set(change.key, row);
     }
     for (const listener of this.listeners) listener(change);
   }
 }
+
+const kindOf = (key: string): string => key.slice(0, key.indexOf('/', key.indexOf('/') + 1) + 1);
--- a/src/state/records.ts
+++ b/src/state/records.ts
@@ -9,22 +9,19 @@
 export const CATALOG_KEY = 'ph/catalog';
 const JOB_PREFIX = 'ph/j/';
 const DONE_PREFIX = 'ph/d/';
-const NODE_PREFIX = 'ph/n/';
 
 export const jobKey = (uid: string): string => JOB_PREFIX + uid;
 export const doneKey = (uid: string, chunk: number): string => `${DONE_PREFIX}${uid}/${chunk}`;
-export const nodeKey = (name: string): string => NODE_PREFIX + name;
+/** Machines are recorded in groups that were rented together, so that hundreds take a few writes. */
+export const GROUPS = 'ph/g/';
+export const groupKey = (name: string): string => GROUPS + name;
 export const KEPT = 'ph/k/';
-/** A machine whose lease a deputy keeps, per deputy. */
-export const keptKey = (node: string, member: string): string => `${KEPT}${node}/${member}`;
+/** Machines whose leases a deputy keeps, a batch a key. */
+export const keptKey = (member: string, batch: string): string => `${KEPT}${member}/${batch}`;
 export const isKeptKey = (key: string): boolean => key.startsWith(KEPT);
-/** The machine of such a key. */
-export const keptNode = (key: string): string => key.slice(KEPT.length, key.lastIndexOf('/'));
 export const isJobKey = (key: string): boolean => key.startsWith(JOB_PREFIX);
-export const isNodeKey = (key: string): boolean => key.startsWith(NODE_PREFIX);
 export const keyId = (key: string): string => key.slice(JOB_PREFIX.length);
 export const JOBS = JOB_PREFIX;
-export const NODES = NODE_PREFIX;
 
 export type Rank = 'prod' | 'high' | 'standard' | 'idle';
 export const RANKS: readonly Rank[] = ['prod', 'high', 'standard', 'idle'];
@@ -105,3 +102,38 @@
 export function decodeDone(done: TaskSet, chunk: number, text: string): void {
   done.decode(chunk * DONE_CHUNK_TASKS, text);
 }
+
+/** Machines of one offer. */
+export interface GroupRecord {
+  type: string;
+  zone: string;
+  spot: boolean;
+  /** Name to address; undefined: it boots, and surely holds no task. */
+  members: Map<string, string | undefined>;
+}
+
+export function encodeGroup(group: GroupRecord): unknown {
+  const m: Record<string, string | 0> = {};
+  for (const [name, address] of group.members) m[name] = address ?? 0;
+  return { t: group.type, z: group.zone, s: group.spot ? 1 : 0, m };
+}
+
+export function decodeGroup(value: unknown): GroupRecord | undefined {
+  if (!isObject(value) || !isObject(value.m)) return undefined;
+  const members = new Map<string, string | undefined>();
+  for (const [name, address] of Object.entries(value.m))
+    members.set(name, typeof address === 'string' ? address : undefined);
+  return { type: String(value.t), zone: String(value.z), spot: value.s === 1, members };
+}
+
+export interface KeptRecord {
+  term: number;
+  nodes: string[];
+}
+
+export const encodeKept = ({ term, nodes }: KeptRecord): unknown => ({ t: term, m: nodes });
+
+export function decodeKept(value: unknown): KeptRecord | undefined {
+  if (!isObject(value) || !Array.isArray(value.m)) return undefined;
+  return { term: Number(value.t), nodes: value.m.map(String) };
+}
