--- a/src/constants.ts
+++ b/src/constants.ts
@@ -49,10 +49,10 @@
 export const LEADER_WRITES = 0.7;
 /** ms: a call to the state service; answers take under 10 ms, now and then a few hundred. */
 export const STATE_CALL_MS = 1_500;
-/** ms: how long a watch is asked to wait; short enough to notice a lost connection. */
-export const WATCH_HOLD_MS = 8_000;
+/** ms: how long a watch is asked to wait; short, as a controller that is not served must notice and say so. */
+export const WATCH_HOLD_MS = 2_500;
 /** ms: on top of the hold before a watch counts as lost. */
-export const WATCH_GRACE_MS = 4_000;
+export const WATCH_GRACE_MS = 1_500;
 /** ms: pause after a failed call before the next of the same kind. */
 export const STATE_RETRY_MS = 250;
 /** ms: least time between two coalesced reads for polls; bounds the requests spent on polls. */
@@ -140,6 +140,12 @@
 export const SILENT_REPORTS = 2.5;
 /** report intervals without a report after which a machine counts as lost and is replaced. */
 export const LOST_REPORTS = 3;
+/** answers in a row that show no effect before a machine counts as not hearing us. */
+export const UNHEARD_ANSWERS = 2;
+/** ms: for which a worker that does not show our token is answered; beyond it our answers surely do not reach it. */
+export const GREET_FOR_MS = 6_000;
+/** ms: for which deleted machines are remembered; copies of their reports may come late, well over a lease. */
+export const GONE_KEEP_MS = 600_000;
 /** attempts: the low bits of an attempt's number; the high part is the leader's term. */
 export const ATTEMPTS_PER_TERM = 2 ** 22;
 /** orders in one report answer; keeps an answer far below 64 KiB. */
@@ -209,6 +215,15 @@
  * would otherwise take that room again and again.
  */
 export const PATIENCE_S = 60;
+/**
+ * ms: after its last deadline a job takes its turn as if it were due this much later, so that a stream of newer jobs
+ * can't hold it up for ever.
+ */
+export const LATE_TURN_MS = 90_000;
+/** ms: an undated job takes its turn as if it were due this long after it was accepted. */
+export const UNDATED_TURN_MS = 120_000;
+/** ms: a job of which no task runs after waiting this long counts as guaranteed: the largest must begin in time. */
+export const STARVED_MS = 100_000;
 /** s: expected time from renting to a task's start beyond the catalogue's boot time (image, report). */
 export const START_EXTRA_S = 8;
 /** s: how long a stopped task is given to save when its machine has to be cleared. */
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -77,7 +77,8 @@
       log,
       member: settings.member,
       running: (uid) => this.counts[uid] ?? 0,
-      leader: () => this.election.leader(),
+      leader: () => (this.election.knowsLeader ? this.election.leader() : undefined),
+      isHealthy: () => this.election.isHealthy,
       report: (report, respond) => {
         const taker = this.leader ?? (this.deputy.wants() ? this.deputy : undefined);
         taker?.send({ kind: 'report', report, respond });
--- a/src/fleet/health.ts
+++ b/src/fleet/health.ts
@@ -8,6 +8,7 @@
   SILENT_REPORTS,
   STUCK_BOOT_MIN_MS,
   STUCK_BOOT_RATIO,
+  UNHEARD_ANSWERS,
 } from '../constants.js';
 import type { Job } from '../pipeline/job.js';
 import type { Ledger, Node } from './ledger.js';
@@ -27,12 +28,16 @@
 
 /** What the leader makes of its machines' silence and failures. It decides what is used, never what is safe. */
 export class Health {
+  private manyLost = false;
+  private readonly silentZones = new Map<string, boolean>();
+
   constructor(private readonly deps: HealthDeps) {}
 
   isUsable(node: Node, now: number): boolean {
     return (
       node.reportedMs > now - SILENT_REPORTS * this.deps.reportS * 1000 &&
       node.current &&
+      node.unheard < UNHEARD_ANSWERS &&
       !node.returning &&
       node.takenMs === Infinity &&
       !this.isFaulty(node)
@@ -51,7 +56,10 @@
 
   isLost(node: Node, now: number): boolean {
     if (this.deps.isKept(node)) return false;
-    const since = Math.max(node.reportedMs, this.deps.startedMs);
+    // Its reports come, but what we say does not reach it.
+    if (node.unheard >= UNHEARD_ANSWERS) return true;
+    // A report that does not show our token counts once: answers may not reach its worker.
+    const since = Math.max(node.reportedMs, node.greetedMs, this.deps.startedMs);
     return now - since > LOST_REPORTS * this.deps.reportS * 1000;
   }
 
@@ -77,15 +85,16 @@
     for (const node of this.deps.ledger.nodes.values()) {
       if (node.reportedMs === -Infinity || now > node.leaseEndMs) continue;
       // In a zone whose controllers are not heard of either, a deputy keeps the leases.
-      if (this.deps.zoneSilent(node.zone)) continue;
+      if (this.zoneSilent(node.zone)) continue;
       all++;
       if (this.isLost(node, now)) silent++;
     }
     return all >= HANDOVER_MACHINES && silent > all * DEAF_SHARE;
   }
 
-  /** Many silent machines at once are more likely cut off from us than dead. */
-  fewLost(now: number): boolean {
+  /** Called at the start of a pass: what holds for all machines is found out once. */
+  look(now: number): void {
+    this.silentZones.clear();
     let lost = 0;
     let all = 0;
     for (const node of this.deps.ledger.nodes.values()) {
@@ -93,6 +102,18 @@
       all++;
       if (this.isLost(node, now)) lost++;
     }
-    return lost <= Math.max(2, all / 4);
+    this.manyLost = lost > Math.max(2, all / 4);
+  }
+
+  /** Many silent machines at once are more likely cut off from us than dead. */
+  fewLost(): boolean {
+    return !this.manyLost;
+  }
+
+  /** Whether a zone may be cut off: none of its controllers is heard of. */
+  zoneSilent(zone: string): boolean {
+    let silent = this.silentZones.get(zone);
+    if (silent === undefined) this.silentZones.set(zone, (silent = this.deps.zoneSilent(zone)));
+    return silent;
   }
 }
--- a/src/fleet/lease.ts
+++ b/src/fleet/lease.ts
@@ -22,6 +22,36 @@
   return message.tick > seen.tick;
 }
 
+/**
+ * What a report tells the leader. `greet`: its worker does not know our token, so it may be a copy of long ago; it is
+ * shown the token and nothing is learned. `news`: the worker received an answer of this term. `nothing`: of a machine
+ * that was deleted, or older than what the machine showed already, or of a worker that obeys a later term, which
+ * would drop our answer and yet be held here by it.
+ */
+export function worthOf(
+  token: WireInt,
+  term: number,
+  machine: { gone: boolean; current: boolean },
+): 'greet' | 'news' | 'nothing' {
+  if (machine.gone || token > term) return 'nothing';
+  if (token === term) return 'news';
+  return machine.current ? 'nothing' : 'greet';
+}
+
+/**
+ * Whether a session's end shows that our answers do not reach the worker: it ran out of its lease although it was
+ * answered within the last half of it.
+ */
+export function unheardSession(
+  report: Position,
+  known: Position,
+  answeredMs: number,
+  nowMs: number,
+  leaseS: number,
+): boolean {
+  return known.session > 0 && report.session > known.session && nowMs - answeredMs < (leaseS * 1000) / 2;
+}
+
 /**
  * A direct start command of an attempt. `pending`: its call goes on. `lost`: the call ended without an answer, and the
  * command may be executed as long as the session lasts; from then on it is repeated in report answers only.
--- a/src/fleet/ledger.ts
+++ b/src/fleet/ledger.ts
@@ -1,7 +1,8 @@
 import type { Job } from '../pipeline/job.js';
 import type { WireInt } from '../wire/json.js';
 import type { ExitCause, Order, Report, TaskReport } from './codec.js';
-import { absentMeans, isNewer, leaseEndMs, type DirectStart } from './lease.js';
+import { UNHEARD_ANSWERS } from '../constants.js';
+import { absentMeans, isNewer, leaseEndMs, unheardSession, type DirectStart } from './lease.js';
 
 export interface Resources {
   cpus: number;
@@ -41,6 +42,12 @@
   tick: WireInt;
   /** Steady ms of the last report; -Infinity: none in this term. */
   reportedMs: number;
+  /** Steady ms of its first report in this term that did not show our token yet; -Infinity: none. */
+  greetedMs: number;
+  /** Steady ms of our last 200. */
+  answeredMs: number;
+  /** Answers in a row of which its reports show nothing. */
+  unheard: number;
   /** Its tasks are surely gone after this, unless it is answered again. */
   leaseEndMs: number;
   /** Sessions up to this one have surely ended. */
@@ -70,12 +77,16 @@
 export const attemptKey = (uid: string, index: number, number: WireInt): string =>
   `${uid}/${index}#${number}`;
 
+const keyOf = (task: TaskReport): string => attemptKey(task.job, task.index, task.attempt);
+
 const NOTHING: Resources = { cpus: 0, accelerators: 0, memGb: 0 };
 
 /** What is, or may be, on each machine, and what each team uses. Unknown counts as used. */
 export class Ledger {
   readonly nodes = new Map<string, Node>();
   readonly teams = new Map<string, Resources>();
+  /** Machines with something planned or to be stopped, of which their workers may not know. */
+  readonly untold = new Set<Node>();
 
   constructor(
     private readonly leaseS: number,
@@ -94,6 +105,9 @@
       session: 0,
       tick: 0,
       reportedMs: -Infinity,
+      greetedMs: -Infinity,
+      answeredMs: -Infinity,
+      unheard: 0,
       leaseEndMs: -Infinity,
       fencedSession: 0,
       current: false,
@@ -123,6 +137,7 @@
   removeNode(node: Node): void {
     this.releaseAll(node);
     this.nodes.delete(node.name);
+    this.untold.delete(node);
   }
 
   /** Its lease has surely ended: every task of its session is gone. */
@@ -135,10 +150,11 @@
   take(node: Node, report: Report, byReport: boolean, nowMs: number): boolean {
     const { session, tick } = report;
     if (session <= node.fencedSession || !isNewer({ session, tick }, node)) return false;
+    if (unheardSession(report, node, node.answeredMs, nowMs, this.leaseS)) node.unheard = UNHEARD_ANSWERS;
     if (session > node.session) {
       this.releaseAll(node);
       // A new session has a lease of its own from its beginning, also if this report gets no answer.
-      this.answered(node, nowMs);
+      this.lease(node, nowMs);
     }
     node.session = session;
     node.tick = tick;
@@ -146,6 +162,8 @@
     node.address = report.address;
     node.takenMs = report.noticeS === null ? Infinity : nowMs + report.noticeS * 1000;
     const listed = new Set<string>();
+    const heard = report.tasks.some((task) => node.attempts.get(keyOf(task))?.state === 'sent');
+    let neverExecuted = false;
     for (const task of report.tasks) listed.add(this.takeTask(node, task, nowMs));
     for (const [key, attempt] of node.attempts) {
       if (listed.has(key)) continue;
@@ -154,7 +172,9 @@
       switch (absentMeans({ state, sentTick, direct, byReport, tick })) {
         case 'send again':
         case 'never executed':
+          neverExecuted = true;
           attempt.state = 'planned';
+          this.untold.add(node);
           break;
         case 'gone':
           this.remove(attempt);
@@ -163,11 +183,19 @@
       // A start that was not executed and is not wanted any more is over.
       if (attempt.state === 'planned' && attempt.stop && attempt.direct === 'none') this.remove(attempt);
     }
+    if (heard) node.unheard = 0;
+    else if (neverExecuted) node.unheard++;
     return true;
   }
 
-  /** A lease may run from now on: called for every 200 before it is sent, and when a session is first seen. */
+  /** Called for every 200 before it is sent. */
   answered(node: Node, nowMs: number): void {
+    node.answeredMs = nowMs;
+    this.lease(node, nowMs);
+  }
+
+  /** A lease may run from now on. */
+  lease(node: Node, nowMs: number): void {
     node.leaseEndMs = Math.max(node.leaseEndMs, leaseEndMs(nowMs, this.leaseS));
   }
 
@@ -203,14 +231,17 @@
   }
 
   private takeTask(node: Node, task: TaskReport, nowMs: number): string {
-    const key = attemptKey(task.job, task.index, task.attempt);
+    const key = keyOf(task);
     let attempt = node.attempts.get(key);
     if (!attempt) {
       const job = this.findJob(task.job);
       attempt = this.bind(job, task.job, task.index, task.attempt, node, 'running', nowMs);
       const wanted = job?.isOpen && job.bound.get(task.index) === attempt && !job.done.has(task.index);
       // Of a job that is over, or that runs elsewhere: nobody wants it.
-      if (!wanted) attempt.stop = { leewayS: 0 };
+      if (!wanted) {
+        attempt.stop = { leewayS: 0 };
+        this.untold.add(node);
+      }
     }
     if (attempt.state === 'exited') return key;
     if (task.state === 'exited') {
@@ -261,6 +292,7 @@
       direct: 'none',
     };
     node.attempts.set(attemptKey(uid, index, number), attempt);
+    if (state === 'planned') this.untold.add(node);
     add(node.used, size, 1);
     if (job) {
       const team = this.teams.get(job.spec.team) ?? { ...NOTHING };
--- a/src/frontdoor/frontdoor.ts
+++ b/src/frontdoor/frontdoor.ts
@@ -47,6 +47,8 @@
   running: (uid: string) => number;
   /** Who leads, and whether it is this controller. */
   leader: () => string | undefined;
+  /** Whether this controller can do something for users. */
+  isHealthy: () => boolean;
   member: string;
   /** Hands a report to the leader of this process; false when it doesn't lead. */
   report: (report: Report, respond: Respond) => boolean;
@@ -69,9 +71,7 @@
     if (request.path === '/v1/report') return this.onReport(request, respond);
     if (request.path === '/healthz') {
       if (request.method !== 'GET') return respond(problem(405, 'GET only'));
-      // Healthy once the jobs were read: an outage of the state service must not take every controller out of
-      // the load balancer, as it would come back only after a growing pause.
-      return respond(this.deps.mirror.isLoaded ? reply(200, { status: 'ok' }) : RETRY);
+      return respond(this.deps.isHealthy() ? reply(200, { status: 'ok' }) : RETRY);
     }
     if (request.path === SUBMISSIONS) {
       if (request.method !== 'POST') return respond(problem(405, 'POST only'));
@@ -101,7 +101,9 @@
       ended = true;
       cancel();
       this.inProgress--;
-      respond(response);
+      // A controller that can't serve sends its users to another: connections are never moved otherwise.
+      const elsewhere = response.status === 503 && !this.deps.isHealthy();
+      respond(elsewhere ? { ...response, close: true } : response);
     };
     const cancel = this.deps.clock.after(timeoutMs, () => end(RETRY));
     work().then(end, (error: unknown) => {
--- a/src/http/message.ts
+++ b/src/http/message.ts
@@ -11,6 +11,8 @@
   status: number;
   body: string;
   retryAfterS?: number;
+  /** Whether the connection ends with this answer. */
+  close?: boolean;
 }
 
 export type Respond = (response: HttpResponse) => void;
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -101,8 +101,9 @@
       this.busy = false;
       this.lastMs = this.clock.steadyMs();
       if (this.socket.destroyed) return;
-      this.socket.write(formatResponse(response, message.keepAlive));
-      if (!message.keepAlive || this.ended) {
+      const keepAlive = message.keepAlive && response.close !== true;
+      this.socket.write(formatResponse(response, keepAlive));
+      if (!keepAlive || this.ended) {
         this.socket.end();
         return;
       }
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -17,7 +17,6 @@
   STAND_MISPLACED_MS,
   STATE_CALL_MS,
   STATE_FAILING_MS,
-  WATCH_HOLD_MS,
 } from '../constants.js';
 import type { StateClient, TxnResult } from '../state/client.js';
 import type { Mirror } from '../state/mirror.js';
@@ -111,8 +110,7 @@
 
   private tellAble(): void {
     const now = this.clock.steadyMs();
-    const served = !this.client.failing && now - this.client.lastServedMs < WATCH_HOLD_MS + STATE_CALL_MS;
-    const able = served && now >= this.madeWayUntilMs;
+    const able = this.client.isServed && now >= this.madeWayUntilMs;
     for (const peer of this.peers) this.channel.send(peer.member, { kind: 'able', able });
     this.clock.after(PEER_BEAT_MS, () => this.tellAble());
   }
@@ -122,6 +120,31 @@
     return this.heardMs.get(member) ?? -Infinity;
   }
 
+  /**
+   * Whether this controller can do something for users. One that the state service does not serve can't, and says so
+   * while another can, or while it hears of no other at all. In an outage that all share it stays healthy: a load
+   * balancer that lost all controllers would bring them back only after a growing pause.
+   */
+  get isHealthy(): boolean {
+    if (!this.mirror.isLoaded) return false;
+    if (this.client.isServed || this.peers.length === 0) return true;
+    return this.isHeard() && ![...this.able].some((member) => this.hears(member));
+  }
+
+  /** Whether the leader that this controller knows of may be named to workers: not on stale knowledge. */
+  get knowsLeader(): boolean {
+    const leader = this.leader();
+    return leader !== undefined && (this.client.isServed || this.hears(leader));
+  }
+
+  private hears(member: string): boolean {
+    return this.clock.steadyMs() - this.heardOfMs(member) < 3 * PEER_BEAT_MS;
+  }
+
+  private isHeard(): boolean {
+    return this.peers.some((peer) => this.hears(peer.member));
+  }
+
   /** Whether a zone has other controllers and none of them was heard of lately. */
   zoneSilent(zone: string): boolean {
     const there = this.peers.filter((peer) => peer.zone === zone);
--- a/src/leadership/leader.ts
+++ b/src/leadership/leader.ts
@@ -5,19 +5,24 @@
 import type { MachineType } from '../cloud/codec.js';
 import {
   DEPUTY_FRESH_MS,
+  GONE_KEEP_MS,
+  GREET_FOR_MS,
   LEAST_CHARGE_MS,
   LOST_START_MS,
   ORDERS_PER_ANSWER,
   ORDER_CALL_MS,
   ORDER_REPEAT_MS,
   PASS_EVERY_MS,
+  PASS_REST,
   PASS_SPACING_MS,
   SAVE_LEEWAY_S,
+  STARVED_MS,
+  UNHEARD_ANSWERS,
 } from '../constants.js';
 import { decodeReport, encodeOrders, type ExitCause, type Order, type Report } from '../fleet/codec.js';
 import { Health } from '../fleet/health.js';
-import { leaseEndMs } from '../fleet/lease.js';
-import { Ledger, type Attempt, type Node } from '../fleet/ledger.js';
+import { leaseEndMs, worthOf } from '../fleet/lease.js';
+import { Ledger, attemptKey, type Attempt, type Node } from '../fleet/ledger.js';
 import { NodeRecords, type GroupEnd } from '../fleet/node-records.js';
 import { CallError, type HttpCaller, type Respond } from '../http/message.js';
 import type { Job } from '../pipeline/job.js';
@@ -65,6 +70,8 @@
   | { kind: 'fence'; node: Node; leaseEndMs: number; confirmed: boolean }
   | { kind: 'pass' };
 
+const NOT_ANSWERED = { status: 503, body: '{}' };
+
 /**
  * The leader of one term: owns the jobs and the fleet, decides what runs where. It is built from the state service
  * when a term begins and thrown away when it ends.
@@ -90,8 +97,11 @@
   private passTimer: (() => void) | undefined;
   private passDueMs = Infinity;
   private lastPassMs = -Infinity;
+  private passTookMs = 0;
   private readonly startedMs: number;
   private readonly directBusy = new Set<Node>();
+  /** Direct starts without an answer. */
+  private readonly lostStarts = new Set<Attempt>();
   private readonly stopSentMs = new Map<Attempt, number>();
 
   constructor(private readonly deps: LeaderDeps) {
@@ -265,7 +275,7 @@
     for (const name of before) {
       const node = this.ledger.nodes.get(name);
       // It may have been answered until just now.
-      if (node && !this.keptNames.has(name)) this.ledger.answered(node, this.now());
+      if (node && !this.keptNames.has(name)) this.ledger.lease(node, this.now());
     }
   }
 
@@ -325,6 +335,7 @@
     if (attempt.state === 'planned' && attempt.direct === 'none') this.ledger.unplan(attempt);
     else if (!attempt.stop || leewayS < attempt.stop.leewayS) {
       attempt.stop = { leewayS };
+      this.ledger.untold.add(attempt.node);
       this.stopSentMs.delete(attempt);
     }
   }
@@ -338,25 +349,35 @@
     this.passSoon();
   }
 
+  /**
+   * What a report is worth (fleet/lease.ts): only one that shows our token proves that an answer of ours was received,
+   * so only from such a report on is anything learned of a machine.
+   */
   private onReport(report: Report, respond: Respond): void {
     const now = this.now();
     const { term } = this.deps;
     let node = this.ledger.nodes.get(report.node);
+    const worth = worthOf(report.token, term.number, {
+      gone: this.goneMs.has(report.node),
+      current: node?.current ?? false,
+    });
+    if (worth === 'greet') return this.greet(node, report, respond, now);
+    if (worth === 'nothing') return respond(NOT_ANSWERED);
     if (!node) {
       const { node: name, address, type, zone, spot } = report;
       node = this.ledger.addNode({ name, address, type, zone, spot, capacity: this.capacityOf(type) }, now);
     }
     const first = node.reportedMs === -Infinity;
     if (!this.ledger.take(node, report, true, now)) {
-      // An old report, delivered late: it is not answered with 200, as its worker must not count on it.
-      respond({ status: 503, body: '{}' });
-      return;
+      // An old report, delivered late: it is not answered with 200, as its worker must not count on it. Or the
+      // worker has begun anew, and its counters with it: its machine then counts as silent, and is replaced.
+      return respond(NOT_ANSWERED);
     }
     if (first) {
       this.log.info({ node: node.name, ms: Math.round(now - node.rentedMs) }, 'machine reports');
       node.idleSinceMs = now;
     }
-    this.seen(node, report);
+    this.seen(node);
     const orders: Order[] = [];
     for (const [order, attempt] of this.ledger.orders(node, (a) => this.mayStart(a))) {
       if (orders.length >= ORDERS_PER_ANSWER) break;
@@ -364,16 +385,29 @@
       orders.push(order);
     }
     // Checked last, right before the answer goes out.
-    if (!term.authority.holds(this.now())) {
-      respond({ status: 503, body: '{}' });
-      return;
-    }
+    if (!term.authority.holds(this.now())) return respond(NOT_ANSWERED);
     this.ledger.answered(node, this.now());
     respond({ status: 200, body: formatJson(encodeOrders(term.number, orders)) });
   }
 
-  private seen(node: Node, report: Report): void {
-    if (report.token === this.deps.term.number && !node.current) {
+  /** Shows our token to a worker that does not know it yet, and says nothing else. */
+  private greet(node: Node | undefined, report: Report, respond: Respond, now: number): void {
+    if (node) {
+      if (node.greetedMs === -Infinity) node.greetedMs = now;
+      // Answers do not reach it: its lease must run out for us too, or its tasks would be waited for without end.
+      if (now - node.greetedMs > GREET_FOR_MS) return respond(NOT_ANSWERED);
+      node.address = report.address;
+      if (!node.recorded) this.records.use(node);
+      this.passSoon();
+    }
+    if (!this.deps.term.authority.holds(this.now())) return respond(NOT_ANSWERED);
+    // A machine without record holds no task of ours, so its lease is of no matter.
+    if (node) this.ledger.answered(node, this.now());
+    respond({ status: 200, body: formatJson(encodeOrders(this.deps.term.number, [])) });
+  }
+
+  private seen(node: Node): void {
+    if (!node.current) {
       node.current = true;
       this.account(node);
       this.passSoon();
@@ -408,7 +442,12 @@
       return;
     const orders: Order[] = [];
     const sent: Attempt[] = [];
-    for (const [order, attempt] of this.ledger.orders(node, (a) => this.mayStart(a))) {
+    // Nothing planned and nothing to stop: the machine is told of again when there is.
+    let more = false;
+    for (const attempt of node.attempts.values())
+      more ||= attempt.state === 'planned' || (attempt.stop !== undefined && attempt.state !== 'exited');
+    if (!more) this.ledger.untold.delete(node);
+    for (const [order, attempt] of more ? this.ledger.orders(node, (a) => this.mayStart(a)) : []) {
       if (orders.length >= ORDERS_PER_ANSWER) break;
       if (order.verb === 'clear') continue;
       if (order.verb === 'stop') {
@@ -444,12 +483,16 @@
     this.directBusy.delete(node);
     const executed = status === 200;
     const notExecuted = status === 409 || status === 400 || failure === 'unsent';
-    for (const attempt of sent) attempt.direct = executed || notExecuted ? 'none' : 'lost';
+    for (const attempt of sent) {
+      attempt.direct = executed || notExecuted ? 'none' : 'lost';
+      if (attempt.direct === 'lost') this.lostStarts.add(attempt);
+    }
     if (notExecuted) for (const attempt of sent) if (attempt.state === 'sent') attempt.state = 'planned';
     if (status !== 200 && status !== 409) return;
     if (this.ledger.nodes.get(node.name) !== node) return;
     const report = safeReport(body);
-    if (report && this.ledger.take(node, report, false, this.now())) this.seen(node, report);
+    if (report?.token === this.deps.term.number && this.ledger.take(node, report, false, this.now()))
+      this.seen(node);
     this.passSoon();
   }
 
@@ -511,7 +554,8 @@
 
   private onListed({ nodes, askedMs }: Extract<CloudEvent, { kind: 'listed' }>, now: number): void {
     const lagMs = this.deps.settings.cloud.listLagS * 2000 + 1000;
-    for (const [name, ms] of this.goneMs) if (now - ms > 2 * lagMs) this.goneMs.delete(name);
+    // Kept far beyond the list's lag: copies of their reports may come late.
+    for (const [name, ms] of this.goneMs) if (now - ms > GONE_KEEP_MS) this.goneMs.delete(name);
     for (const listed of nodes) {
       // The list lags: what was deleted a moment ago still stands in it.
       if (this.goneMs.has(listed.name)) continue;
@@ -542,7 +586,10 @@
   // --- the pass --------------------------------------------------------------------------------------
 
   private passSoon(): void {
-    const due = Math.max(this.now(), this.lastPassMs + PASS_SPACING_MS);
+    const due = Math.max(
+      this.now(),
+      this.lastPassMs + Math.max(PASS_SPACING_MS, this.passTookMs * PASS_REST),
+    );
     if (due >= this.passDueMs) return;
     this.schedulePass(due);
   }
@@ -555,8 +602,8 @@
 
   private pass(): void {
     const now = this.now();
-    this.lastPassMs = now;
     this.passDueMs = Infinity;
+    this.health.look(now);
     this.checkNodes(now);
     const open: Job[] = [];
     for (const job of this.store.jobs.values()) {
@@ -566,20 +613,28 @@
     const within = withinGuarantee(open, this.limits);
     const wallMs = this.deps.clock.wallMs();
     const due = new Map(open.map((job) => [job, job.dueMs(wallMs)]));
-    open.sort(byRelease(within, (job) => due.get(job)!));
+    open.sort(
+      byRelease(
+        within,
+        (job) => now - job.starvingSinceMs > STARVED_MS,
+        (job) => due.get(job)!,
+      ),
+    );
     const waiting = this.placer.place(open, now);
     for (const job of open) this.store.store(job);
     this.records.flush(now);
     this.renter.rent(waiting, now);
-    this.placer.preempt(waiting, within, now);
+    this.placer.preempt(open, waiting, within, now);
     this.returnIdle(now);
-    for (const node of this.ledger.nodes.values()) this.direct(node, now);
+    for (const node of this.ledger.untold) this.direct(node, now);
     this.fenceLostStarts(now);
     if (this.health.isDeaf(now)) {
       this.log.info('most machines are not heard of: making way');
       this.deps.onFailure(undefined);
       return;
     }
+    this.lastPassMs = now;
+    this.passTookMs = this.now() - now;
     const groupsMs = Math.max(this.records.waitMs(now), PASS_SPACING_MS);
     this.schedulePass(Math.min(this.passDueMs, now + Math.min(PASS_EVERY_MS, groupsMs)));
   }
@@ -616,21 +671,27 @@
     if (node.attempts.size > 0) this.log.info({ node: node.name }, 'lease of machine ended');
     this.ledger.fence(node);
     node.leaseEndMs = -Infinity;
+    node.greetedMs = -Infinity;
     this.account(node);
     this.passSoon();
   }
 
   /** A direct start that was lost may be executed as long as the session lasts; a new term ends that. */
   private fenceLostStarts(now: number): void {
-    for (const node of this.ledger.nodes.values()) {
-      for (const attempt of node.attempts.values()) {
-        const over = attempt.job !== undefined && !attempt.job.isOpen;
-        if (attempt.direct !== 'lost' || !over || attempt.state === 'exited') continue;
-        if (now - attempt.sentMs < LOST_START_MS) continue;
-        this.log.info({ task: `${attempt.uid}/${attempt.index}` }, 'late start of an ended job: new term');
-        this.deps.onFailure(undefined);
-        return;
+    for (const attempt of this.lostStarts) {
+      const { node, uid, index } = attempt;
+      if (
+        node.attempts.get(attemptKey(uid, index, attempt.number)) !== attempt ||
+        attempt.state === 'exited'
+      ) {
+        this.lostStarts.delete(attempt);
+        continue;
       }
+      const over = attempt.job !== undefined && !attempt.job.isOpen;
+      if (!over || now - attempt.sentMs < LOST_START_MS) continue;
+      this.log.info({ task: `${uid}/${index}` }, 'late start of an ended job: new term');
+      this.deps.onFailure(undefined);
+      return;
     }
   }
 
@@ -669,9 +730,9 @@
       if (this.health.isStuck(node, now)) this.giveBack(node, 'never came up');
       if (this.health.isBooting(node)) continue;
       // In a zone cut off from us, machines go on and turn to the controller there.
-      if (this.deps.zoneSilent(node.zone) && now < node.leaseEndMs) continue;
-      if (this.health.isLost(node, now) && this.health.fewLost(now)) {
-        this.giveBack(node, 'silent');
+      if (this.health.zoneSilent(node.zone) && now < node.leaseEndMs) continue;
+      if (this.health.isLost(node, now) && this.health.fewLost()) {
+        this.giveBack(node, node.unheard >= UNHEARD_ANSWERS ? 'answers do not reach it' : 'silent');
       } else if (
         this.health.isUsable(node, now) &&
         node.attempts.size === 0 &&
--- a/src/pipeline/job.ts
+++ b/src/pipeline/job.ts
@@ -56,6 +56,8 @@
   inherited: boolean;
   /** Steady ms since when a task of it waits for room; NaN while none does. */
   waitingSinceMs = NaN;
+  /** Steady ms since when it waits with no task on a machine; Infinity while one is. */
+  starvingSinceMs = Infinity;
   notBeforeMs = 0;
   private errors = 0;
   private ranS = 0;
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -9,30 +9,31 @@
   avoid: ReadonlySet<string>;
 }
 
+/** A machine and what is free on it, less what this pass has given away. */
+export interface Room {
+  readonly node: Node;
+  readonly free: Resources;
+}
+
 /**
- * The machine for one more task, or undefined: spot machines for what may use them, so that ordinary room stays free
- * for the rest; then where the task starts soonest; then the fullest, so that others become idle and are returned.
+ * The machines with room for a task, best first: spot machines for what may use them, so that ordinary room stays free
+ * for the rest; then where the task starts soonest; then the fullest, so that others become idle and are returned. A
+ * machine that got one task of the job is the fullest for the next, so one look serves all of them.
  */
-export function chooseNode(
+export function rankRooms(
   choice: Choice,
-  nodes: Iterable<Node>,
-  free: (node: Node) => Resources,
+  rooms: Iterable<Room>,
   fetchS: (node: Node, spec: JobSpec) => number,
-): Node | undefined {
+): Room[] {
   const { spec, zones, avoid } = choice;
-  let best: Node | undefined;
-  let bestScore = Infinity;
-  for (const node of nodes) {
-    if (!allowsPlace(spec, node) || !allowsZone(spec, zones, node.zone)) continue;
-    const left = free(node);
-    if (!fits(spec, left)) continue;
+  const ranked: { room: Room; score: number }[] = [];
+  for (const room of rooms) {
+    const { node, free } = room;
+    if (!fits(spec, free) || !allowsPlace(spec, node) || !allowsZone(spec, zones, node.zone)) continue;
     const wrongKind = spec.spot && !node.spot ? 1 : 0;
     const failed = avoid.has(node.name) ? 1 : 0;
-    const score = failed * 1e6 + wrongKind * 1e4 + fetchS(node, spec) * 10 + (left.cpus - spec.cpus);
-    if (score < bestScore) {
-      bestScore = score;
-      best = node;
-    }
+    const score = failed * 1e6 + wrongKind * 1e4 + fetchS(node, spec) * 10 + (free.cpus - spec.cpus);
+    ranked.push({ room, score });
   }
-  return best;
+  return ranked.sort((a, b) => a.score - b.score).map(({ room }) => room);
 }
--- a/src/placement/order.ts
+++ b/src/placement/order.ts
@@ -1,4 +1,4 @@
-import { EPSILON } from '../constants.js';
+import { EPSILON, LATE_TURN_MS, UNDATED_TURN_MS } from '../constants.js';
 import { RANKS, type JobSpec } from '../state/records.js';
 import type { TeamLimit } from './rules.js';
 
@@ -32,22 +32,30 @@
 }
 
 /**
- * Order of release: rank, then guarantees before borrowing, then the earliest deadline that can still be met, then the
- * oldest. A job past every deadline takes its turn after those that are not.
+ * When a job's turn is, as a time of day: its earliest deadline that can still be met. The undated successor of a job
+ * that is late, and a job without deadline, take theirs as if they were due some time later: behind the dated work of
+ * that time, and before all that comes after it. So each job waits for a bounded amount of other work only.
+ */
+function turnMs(job: Waiting, dueMs: number): number {
+  if (dueMs < Infinity) return dueMs;
+  const { dueS } = job.spec;
+  return job.acceptedMs + (dueS === null ? UNDATED_TURN_MS : dueS * 1000 + LATE_TURN_MS);
+}
+
+/**
+ * Order of release: rank; then what is guaranteed and can still be in time, or has waited too long without one task
+ * running; then whose turn is first; then the oldest.
  */
 export function byRelease<T extends Waiting>(
   within: ReadonlySet<T>,
+  starves: (job: T) => boolean,
   dueMs: (job: T) => number,
 ): (a: T, b: T) => number {
-  const hopeless = (job: T): boolean => job.spec.dueS !== null && dueMs(job) === Infinity;
+  const late = (job: T): boolean => job.spec.dueS !== null && dueMs(job) === Infinity;
+  const first = (job: T): boolean => (within.has(job) && !late(job)) || starves(job);
   return (a, b) =>
     RANKS.indexOf(a.spec.rank) - RANKS.indexOf(b.spec.rank) ||
-    Number(hopeless(a)) - Number(hopeless(b)) ||
-    Number(within.has(b)) - Number(within.has(a)) ||
-    compare(dueMs(a), dueMs(b)) ||
+    Number(first(b)) - Number(first(a)) ||
+    turnMs(a, dueMs(a)) - turnMs(b, dueMs(b)) ||
     a.acceptedMs - b.acceptedMs;
 }
-
-function compare(a: number, b: number): number {
-  return a === b ? 0 : a < b ? -1 : 1;
-}
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -5,15 +5,17 @@
   MISS_PENALTY_S,
   OVERRUN_SHARE,
   PREEMPT_AFTER_MS,
+  EPSILON,
   PREEMPT_PROD_AFTER_MS,
+  RENT_SPACING_MS,
   STARTS_PER_PASS,
 } from '../constants.js';
 import type { Health } from '../fleet/health.js';
 import type { Attempt, Ledger, Node, Resources } from '../fleet/ledger.js';
 import type { Job } from '../pipeline/job.js';
-import { chooseNode } from './choose.js';
-import { addTo, chooseClearing } from './preempt.js';
-import { teamRoom, type TeamLimit } from './rules.js';
+import { rankRooms, type Room } from './choose.js';
+import { addTo, rankClearings } from './preempt.js';
+import { allowsZone, fits, teamRoom, type TeamLimit } from './rules.js';
 
 export interface PlacerDeps {
   ledger: Ledger;
@@ -30,40 +32,33 @@
   log: Logger;
 }
 
+const hasRoom = ({ free }: Room): boolean => free.cpus > EPSILON || free.accelerators > EPSILON;
+
 /** Starts waiting tasks where there is room, and makes room where that is allowed. */
 export class Placer {
   private attemptSeq = 0;
+  private preemptedMs = -Infinity;
+  /** What may run per team on machines not yet accounted for. */
+  private readonly unknown = new Map<string, Resources>();
 
   constructor(private readonly deps: PlacerDeps) {}
 
+  /** Looks at each machine and each job once, however many tasks wait. Returns the jobs that still wait. */
   place(open: Job[], now: number): Job[] {
-    const nodes = [...this.deps.ledger.nodes.values()].filter(
-      (node) => this.deps.health.isUsable(node, now) && node.recorded,
-    );
+    this.countUnknown();
+    let rooms = this.rooms(now).filter(hasRoom);
     const waiting: Job[] = [];
     let starts = 0;
     for (const job of open) {
       const held = now < job.notBeforeMs || (!this.deps.recovered() && job.inherited);
-      let task = held ? -1 : job.nextPending();
-      let room = held ? 0 : this.teamRoomOf(job);
-      while (task >= 0 && room > 0 && starts < STARTS_PER_PASS) {
-        const node = chooseNode(
-          { spec: job.spec, zones: job.zones, avoid: job.failedOn },
-          nodes,
-          (n) => this.deps.ledger.free(n),
-          (n) => this.fetchS(n, job),
-        );
-        if (!node) break;
-        job.release();
-        const number = this.deps.term * ATTEMPTS_PER_TERM + ++this.attemptSeq;
-        this.deps.ledger.plan(job, task, number, node, now);
-        node.idleSinceMs = Infinity;
-        starts++;
-        room--;
-        task = job.nextPending(task + 1);
-      }
+      const most = held ? 0 : Math.min(this.teamRoomOf(job), STARTS_PER_PASS - starts);
+      const started = most > 0 && rooms.length > 0 ? this.fill(job, rooms, most, now) : 0;
+      if (started > 0) rooms = rooms.filter(hasRoom);
+      starts += started;
       if (job.pending > 0 && !held) {
         if (Number.isNaN(job.waitingSinceMs)) job.waitingSinceMs = now;
+        if (job.bound.size > 0) job.starvingSinceMs = Infinity;
+        else if (job.starvingSinceMs === Infinity) job.starvingSinceMs = now;
         waiting.push(job);
       } else {
         job.waitingSinceMs = NaN;
@@ -72,22 +67,54 @@
     return waiting;
   }
 
+  private rooms(now: number): Room[] {
+    const rooms: Room[] = [];
+    for (const node of this.deps.ledger.nodes.values()) {
+      if (node.recorded && this.deps.health.isUsable(node, now))
+        rooms.push({ node, free: this.deps.ledger.free(node) });
+    }
+    return rooms;
+  }
+
+  private fill(job: Job, rooms: Room[], most: number, now: number): number {
+    let task = job.nextPending();
+    if (task < 0) return 0;
+    const choice = { spec: job.spec, zones: job.zones, avoid: job.failedOn };
+    let started = 0;
+    for (const { node, free } of rankRooms(choice, rooms, (n) => this.fetchS(n, job))) {
+      while (fits(job.spec, free) && allowsZone(job.spec, job.zones, node.zone)) {
+        job.release();
+        const number = this.deps.term * ATTEMPTS_PER_TERM + ++this.attemptSeq;
+        this.deps.ledger.plan(job, task, number, node, now);
+        addTo(free, job.spec, -1);
+        node.idleSinceMs = Infinity;
+        started++;
+        task = job.nextPending(task + 1);
+        if (task < 0 || started >= most) return started;
+      }
+    }
+    return started;
+  }
+
+  /** While machines are not accounted for, all waiting tasks of jobs begun before the term may run there. */
+  private countUnknown(): void {
+    this.unknown.clear();
+    if (this.deps.recovered()) return;
+    for (const { spec, inherited, pending } of this.deps.jobs.values()) {
+      if (!inherited) continue;
+      const used = this.unknown.get(spec.team) ?? { cpus: 0, accelerators: 0, memGb: 0 };
+      this.unknown.set(spec.team, used);
+      used.cpus += pending * spec.cpus;
+      used.accelerators += pending * spec.accelerators;
+    }
+  }
+
   /** Room under the team's limit; while machines are not accounted for, what may run there counts as used. */
   teamRoomOf(job: Job, promised?: Resources): number {
     const limit = this.deps.limits.get(job.spec.team);
     if (!limit) return 0;
     const used = { ...this.deps.ledger.usage(job.spec.team) };
-    if (promised) {
-      used.cpus += promised.cpus;
-      used.accelerators += promised.accelerators;
-    }
-    if (!this.deps.recovered()) {
-      for (const other of this.deps.jobs.values()) {
-        if (other.spec.team !== job.spec.team || !other.inherited) continue;
-        used.cpus += other.pending * other.spec.cpus;
-        used.accelerators += other.pending * other.spec.accelerators;
-      }
-    }
+    for (const more of [promised, this.unknown.get(job.spec.team)]) if (more) addTo(used, more, 1);
     return teamRoom(limit, used, job.spec);
   }
 
@@ -119,44 +146,41 @@
   }
 
   /** Makes room for what waits, out of what may be stopped for it. */
-  preempt(waiting: Job[], within: ReadonlySet<Job>, now: number): void {
-    const nodes = [...this.deps.ledger.nodes.values()].filter(
-      (node) => this.deps.health.isUsable(node, now) && node.recorded,
-    );
-    const promised = new Map<Node, Resources>();
-    const roomOf = (node: Node): Resources => {
-      const room = { ...this.deps.ledger.free(node) };
-      const taken = promised.get(node);
-      if (taken) addTo(room, taken, -1);
-      return room;
-    };
+  preempt(open: Job[], waiting: Job[], within: ReadonlySet<Job>, now: number): void {
+    // Live services are looked at in every pass, the rest now and then.
+    const all = now - this.preemptedMs >= RENT_SPACING_MS;
+    if (all) this.preemptedMs = now;
+    let rooms: Room[] | undefined;
     for (const job of waiting) {
+      if (job.rank !== 'prod' && !all) continue;
       const afterMs = job.rank === 'prod' ? PREEMPT_PROD_AFTER_MS : PREEMPT_AFTER_MS;
       if (now - job.waitingSinceMs < afterMs) continue;
-      const mayStop = (victim: Job): boolean => this.mayPreempt(job, victim, within);
-      const zones = new Map(job.zones);
-      for (let left = Math.min(job.pending, this.teamRoomOf(job)); left > 0; left--) {
-        const clearing = chooseClearing(
-          job,
-          nodes,
-          zones,
-          roomOf,
-          (n) => this.fetchS(n, job),
-          mayStop,
-          (v) => this.stopLossS(v, now),
-        );
-        if (!clearing) break;
-        const { node, victims } = clearing;
-        const taken = promised.get(node) ?? { cpus: 0, accelerators: 0, memGb: 0 };
-        promised.set(node, taken);
-        addTo(taken, job.spec, 1);
-        // What is stopped for this task is room promised to it, and counts as room from the next look on.
-        for (const victim of victims) {
-          this.deps.log.info({ task: `${victim.uid}/${victim.index}`, for: job.uid }, 'task preempted');
-          this.deps.stop(victim, victim.job!.spec.saveS);
-        }
-        zones.set(node.zone, (zones.get(node.zone) ?? 0) + 1);
+      const victims = new Set(open.filter((v) => v.bound.size > 0 && this.mayPreempt(job, v, within)));
+      if (victims.size > 0) this.clear(job, victims, (rooms ??= this.rooms(now)), now);
+    }
+  }
+
+  private clear(job: Job, stoppable: ReadonlySet<Job>, rooms: Room[], now: number): void {
+    let left = Math.min(job.pending, this.teamRoomOf(job));
+    const zones = new Map(job.zones);
+    const clearings = rankClearings(
+      job,
+      rooms,
+      (n) => this.fetchS(n, job),
+      (v) => stoppable.has(v),
+      (v) => this.stopLossS(v, now),
+    );
+    for (const { room, victims } of clearings) {
+      if (left-- <= 0) return;
+      const { zone } = room.node;
+      if (!allowsZone(job.spec, zones, zone)) continue;
+      // What is stopped for this task is room promised to it, and counts as room from the next look on.
+      addTo(room.free, job.spec, -1);
+      for (const victim of victims) {
+        this.deps.log.info({ task: `${victim.uid}/${victim.index}`, for: job.uid }, 'task preempted');
+        this.deps.stop(victim, victim.job!.spec.saveS);
       }
+      zones.set(zone, (zones.get(zone) ?? 0) + 1);
     }
   }
 
--- a/src/placement/rent.ts
+++ b/src/placement/rent.ts
@@ -2,7 +2,7 @@
 import type { MachineType, Offer } from '../cloud/codec.js';
 import type { Resources } from '../fleet/ledger.js';
 import type { JobSpec } from '../state/records.js';
-import { allowsPlace, allowsZone, fits, slots } from './rules.js';
+import { allowsPlace, allowsZone, fits, slots, zoneRoom } from './rules.js';
 
 /** Waiting tasks of one job, in order of release. */
 export interface Demand {
@@ -48,16 +48,25 @@
   const plans = new Map<string, RentalPlan>();
   for (const demand of demands) {
     const zones = new Map(demand.zones);
-    for (let left = demand.count; left > 0; left--) {
-      const place =
-        pool.find(
-          (node) => inTime(demand, node) && usable(demand, node, zones) && fits(demand.spec, node.free),
-        ) ?? rentFor(demand, zones, left, market, pool, plans);
+    let left = demand.count;
+    const take = (place: Coming): void => {
+      const count = Math.min(left, slots(demand.spec, place.free), zoneRoom(demand.spec, zones, place.zone));
+      if (count <= 0) return;
+      left -= count;
+      place.free.cpus -= count * demand.spec.cpus;
+      place.free.accelerators -= count * demand.spec.accelerators;
+      place.free.memGb -= count * demand.spec.memGb;
+      zones.set(place.zone, (zones.get(place.zone) ?? 0) + count);
+    };
+    // Each place is looked at once for all tasks of the demand.
+    for (const place of pool) {
+      if (left <= 0) break;
+      if (fits(demand.spec, place.free) && inTime(demand, place) && usable(demand, place, zones)) take(place);
+    }
+    while (left > 0) {
+      const place = rentFor(demand, zones, left, market, pool, plans);
       if (!place) break;
-      place.free.cpus -= demand.spec.cpus;
-      place.free.accelerators -= demand.spec.accelerators;
-      place.free.memGb -= demand.spec.memGb;
-      zones.set(place.zone, (zones.get(place.zone) ?? 0) + 1);
+      take(place);
     }
   }
   return [...plans.values()];
--- a/src/placement/renter.ts
+++ b/src/placement/renter.ts
@@ -1,6 +1,6 @@
 import type { Rental } from '../cloud/cloud.js';
 import { offerKey, type MachineType, type Offer } from '../cloud/codec.js';
-import { REFUSED_MS, RENT_MAX, START_EXTRA_S } from '../constants.js';
+import { REFUSED_MS, RENT_MAX, RENT_SPACING_MS, START_EXTRA_S } from '../constants.js';
 import type { Health } from '../fleet/health.js';
 import type { Ledger, Resources } from '../fleet/ledger.js';
 import type { Job } from '../pipeline/job.js';
@@ -25,6 +25,7 @@
   private readonly rentals = new Map<string, Rental>();
   private readonly refusedUntil = new Map<string, number>();
   private rentalSeq = 0;
+  private rentedMs = -Infinity;
   /** Machines that an earlier leader rented show in the list; without it they would be rented twice. */
   listed = false;
 
@@ -42,7 +43,8 @@
   }
 
   rent(waiting: Job[], now: number): void {
-    if (this.deps.types().size === 0 || !this.listed) return;
+    if (this.deps.types().size === 0 || !this.listed || now - this.rentedMs < RENT_SPACING_MS) return;
+    this.rentedMs = now;
     const demands: Demand[] = [];
     const promised = new Map<string, Resources>();
     for (const job of waiting) {
@@ -104,7 +106,7 @@
     for (const node of this.deps.ledger.nodes.values()) {
       if (node.returning || this.deps.health.isStuck(node, now)) continue;
       const { type, zone, spot, capacity } = node;
-      const arriving = node.reportedMs > -Infinity && (!node.recorded || !node.current);
+      const arriving = node.greetedMs > -Infinity && (!node.recorded || !node.current);
       if (this.deps.health.isBooting(node) || arriving) {
         const bootS = this.deps.types().get(type)?.bootS ?? 0;
         const readyS = arriving ? 1 : Math.max(1, bootS - (now - node.rentedMs) / 1000) + START_EXTRA_S;
--- a/src/placement/rules.ts
+++ b/src/placement/rules.ts
@@ -29,6 +29,11 @@
   return (zones.get(zone) ?? 0) < zoneLimit(spec);
 }
 
+/** How many more tasks of a job the rules allow in a zone. */
+export function zoneRoom(spec: JobSpec, zones: ReadonlyMap<string, number>, zone: string): number {
+  return allowsZone(spec, zones, zone) ? zoneLimit(spec) - (zones.get(zone) ?? 0) : 0;
+}
+
 export function fits(size: Resources, free: Resources): boolean {
   return (
     size.cpus <= free.cpus + EPSILON &&
--- a/src/simulation/day.ts
+++ b/src/simulation/day.ts
@@ -11,31 +11,58 @@
 import { SimStateService } from './state-service.js';
 import { SimWorker } from './workers.js';
 
-const MEMBERS = ['c0', 'c1', 'c2'];
 const ZONES = ['east', 'west'];
 const REPORT_S = 1.5;
 const LEASE_S = 14;
 const CANCEL_S = 35;
 
-function settingsOf(member: string): Settings {
-  const zoneOf = (name: string): string => ZONES[MEMBERS.indexOf(name) % 2]!;
+export interface DayOptions {
+  controllers: number;
+  /** Machines per offer that the cloud has. */
+  machines: number;
+  /** Times as many CPUs per team as in a small day. */
+  scale: number;
+}
+
+const SMALL: DayOptions = { controllers: 3, machines: 24, scale: 1 };
+
+const membersOf = (options: DayOptions): string[] =>
+  Array.from({ length: options.controllers }, (_, i) => `c${i}`);
+
+function settingsOf(member: string, options: DayOptions): Settings {
+  const members = membersOf(options);
+  const zoneOf = (name: string): string => ZONES[members.indexOf(name) % 2]!;
   return {
     member,
     zone: zoneOf(member),
     publicAddress: `${member}:80`,
     peerAddress: `${member}:81`,
-    peers: MEMBERS.filter((m) => m !== member).map((m) => ({
-      member: m,
-      zone: zoneOf(m),
-      address: `${m}:81`,
-    })),
+    peers: members
+      .filter((m) => m !== member)
+      .map((m) => ({
+        member: m,
+        zone: zoneOf(m),
+        address: `${m}:81`,
+      })),
     cloudAddress: 'cloud:1',
     stateAddress: 'state:1',
-    controllers: 3,
+    controllers: options.controllers,
     zones: ZONES,
     teams: [
-      { name: 'red', cpus: 8, cpusMax: 24, accelerators: 0, acceleratorsMax: 0 },
-      { name: 'blue', cpus: 16, cpusMax: 40, accelerators: 0, acceleratorsMax: 0 },
+      {
+        name: 'red',
+        cpus: 8 * options.scale,
+        cpusMax: 24 * options.scale,
+        accelerators: 0,
+        acceleratorsMax: 0,
+      },
+      {
+        name: 'blue',
+        cpus: 16 * options.scale,
+        cpusMax: 40 * options.scale,
+        accelerators: 0,
+        acceleratorsMax: 0,
+      },
     ],
     objectives: [{ cohort: 'batch', share: 0.9, times: 1 }],
     reportS: REPORT_S,
@@ -62,19 +89,25 @@
   private readonly users;
   private jobs = 0;
 
-  constructor(seed: number) {
+  readonly members: string[];
+
+  constructor(
+    seed: number,
+    private readonly options: DayOptions = SMALL,
+  ) {
+    this.members = membersOf(options);
     const generator = xoroshiro128plus(seed);
     this.random = () => uniformFloat64(generator);
     this.network = new SimNetwork(this.clock, this.random);
     this.peers = new SimPeers(this.network);
-    const limits = new Map(settingsOf('c0').teams.map((t) => [t.name, t.cpusMax]));
+    const limits = new Map(settingsOf('c0', options).teams.map((t) => [t.name, t.cpusMax]));
     this.rules = new SimRules(() => this.clock.steadyMs(), limits, CANCEL_S);
     this.state = new SimStateService(this.clock);
     const types = [{ sku: 'm4', cpus: 4, memGb: 16, bootS: 8, price: 0.2 }];
-    const controllers = MEMBERS.map((member) => ({ member, address: `${member}:80` }));
+    const controllers = this.members.map((member) => ({ member, address: `${member}:80` }));
     const timing = { reportS: REPORT_S, leaseS: LEASE_S, fetchS: 1 };
-    MEMBERS.forEach((member) => this.network.setZone(member, settingsOf(member).zone));
-    this.cloud = new SimCloud(this.clock, types, ZONES, 24, (place) => {
+    this.members.forEach((member) => this.network.setZone(member, settingsOf(member, options).zone));
+    this.cloud = new SimCloud(this.clock, types, ZONES, options.machines, (place) => {
       this.network.setZone(place.name, place.zone);
       return new SimWorker(
         place,
@@ -90,7 +123,7 @@
     this.network.attach('state', 'state:1', (...args) => this.state.handle(...args));
     this.network.attach('cloud', 'cloud:1', (...args) => this.cloud.handle(...args));
     this.users = this.network.caller('users', () => true);
-    for (const member of MEMBERS) this.start(member);
+    for (const member of this.members) this.start(member);
     const check = (): void => {
       this.rules.check();
       this.clock.after(500, check);
@@ -104,7 +137,7 @@
     const alive = (): boolean => clock.isAlive;
     const caller = this.network.caller(member, alive);
     const controller = new Controller({
-      settings: settingsOf(member),
+      settings: settingsOf(member, this.options),
       clock,
       random: this.random,
       bornMs: this.clock.steadyMs(),
@@ -163,8 +196,13 @@
     return this.rules.jobs.get(job.uid)!.told !== 'open';
   }
 
-  private async ask(method: string, path: string, body?: unknown): Promise<HttpResponse | undefined> {
-    const member = MEMBERS[Math.floor(this.random() * MEMBERS.length)]!;
+  /** What one controller answers to a request of a user, a worker or the load balancer. */
+  async askOne(
+    member: string,
+    method: string,
+    path: string,
+    body?: unknown,
+  ): Promise<HttpResponse | undefined> {
     const text = body === undefined ? undefined : JSON.stringify(body);
     try {
       return await this.users.call(`${member}:80`, method, path, text, 5000);
@@ -173,6 +211,11 @@
     }
   }
 
+  private async ask(method: string, path: string, body?: unknown): Promise<HttpResponse | undefined> {
+    const member = this.members[Math.floor(this.random() * this.members.length)]!;
+    return this.askOne(member, method, path, body);
+  }
+
   private pause(ms: number): Promise<void> {
     return new Promise((resolve) => this.clock.after(ms, resolve));
   }
--- a/src/simulation/network.ts
+++ b/src/simulation/network.ts
@@ -21,6 +21,10 @@
   private readonly cuts: Cut[] = [];
   private readonly zones = new Map<string, string>();
   private zonesCut = false;
+  /** Hosts to which nothing is delivered, while what they send arrives. */
+  private readonly deaf = new Set<string>();
+  /** Ms by which copies of a host's requests come late; undefined: none do. */
+  private readonly copies = new Map<string, () => number>();
   private readonly addresses = new Map<string, string>();
 
   constructor(
@@ -41,6 +45,16 @@
     this.cuts.push({ from: a, to: b, held: [] }, { from: b, to: a, held: [] });
   }
 
+  /** What the host sends arrives, answers and commands do not reach it. */
+  deafen(host: string): void {
+    this.deaf.add(host);
+  }
+
+  /** Each request of the host arrives once more, `lateMs` later. */
+  copyLate(host: string, lateMs: () => number): void {
+    this.copies.set(host, lateMs);
+  }
+
   setZone(host: string, zone: string): void {
     this.zones.set(host, zone);
   }
@@ -62,10 +76,12 @@
 
   heal(): void {
     this.zonesCut = false;
+    this.deaf.clear();
     for (const cut of this.cuts.splice(0)) for (const deliver of cut.held) this.clock.after(1, deliver);
   }
 
   deliver(from: string, to: string, run: () => void): void {
+    if (this.deaf.has(to)) return;
     const cut = this.cutBetween(from, to);
     if (cut) cut.held.push(run);
     else this.clock.after(1 + this.random() * 3, run);
@@ -83,6 +99,8 @@
             run();
           };
           this.clock.after(timeoutMs, () => end(() => reject(new CallError('unclear', 'timed out'))));
+          const lateMs = this.copies.get(from);
+          if (lateMs) this.clock.after(lateMs(), () => void this.hosts.get(to)?.(from, method, target, body));
           this.deliver(from, to, () => {
             const handler = this.hosts.get(to);
             if (!handler) {
--- a/src/simulation/rules.ts
+++ b/src/simulation/rules.ts
@@ -17,6 +17,10 @@
   told: 'open' | 'done' | 'withdrawn';
   cancelledMs: number;
   done: Set<number>;
+  submittedMs: number;
+  /** When a task of it first began, and when its user was last answered. */
+  begunMs: number;
+  answeredMs: number;
   /** Task to the machine that it is on. */
   on: Map<number, { node: string; zone: string }>;
 }
@@ -42,6 +46,9 @@
       told: 'open',
       cancelledMs: Infinity,
       done: new Set(),
+      submittedMs: this.nowMs(),
+      begunMs: Infinity,
+      answeredMs: this.nowMs(),
       on: new Map(),
     });
   }
@@ -59,6 +66,7 @@
     if (this.nowMs() > seen.cancelledMs + this.cancelS * 1000)
       this.broke(`ran_cancelled: ${uid}/${task} starts`);
     seen.on.set(task, place);
+    seen.begunMs = Math.min(seen.begunMs, this.nowMs());
     let used = 0;
     for (const each of this.jobs.values())
       if (each.job.team === job.team) used += each.on.size * each.job.cpus;
@@ -86,6 +94,7 @@
     }
     if (status === 404 && seen.accepted) this.broke(`forgotten: ${uid} got 404`);
     if (status !== 200) return;
+    seen.answeredMs = this.nowMs();
     if (seen.told !== 'open' && phase !== seen.told) this.broke(`went_back: ${uid} ${seen.told} to ${phase}`);
     if (phase === 'done') {
       if (seen.done.size < seen.job.tasks) this.broke(`not_done: ${uid} has ${seen.done.size}`);
@@ -97,6 +106,38 @@
     }
   }
 
+  /**
+   * The users' addition, once all troubles are over: no accepted job goes unanswered for 75 s, at least half of each
+   * class, team and of a class's largest jobs is served, and the largest began within 4 minutes.
+   */
+  checkServed(calmMs: number): void {
+    const now = this.nowMs();
+    const groups = new Map<string, { all: number; served: number }>();
+    const count = (name: string, served: boolean): void => {
+      const group = groups.get(name) ?? { all: 0, served: 0 };
+      groups.set(name, group);
+      group.all++;
+      if (served) group.served++;
+    };
+    const wanted = [...this.jobs.values()].filter((seen) => seen.accepted && seen.told !== 'withdrawn');
+    for (const seen of wanted) {
+      const { uid, kind, team, tasks } = seen.job;
+      const unanswered = now - Math.max(seen.answeredMs, calmMs);
+      if (unanswered > 75_000) this.broke(`forgotten: ${uid} not answered for ${unanswered} ms`);
+      // What came a moment ago could not be served yet.
+      if (now - seen.submittedMs < 60_000) continue;
+      const served = kind === 'service' ? seen.on.size > 0 : seen.told === 'done';
+      count(kind, served);
+      count(team, served);
+      const most = Math.max(...wanted.filter((w) => w.job.kind === kind).map((w) => w.job.tasks));
+      if (tasks < most) continue;
+      count(`largest ${kind}`, served);
+      if (seen.begunMs - seen.submittedMs > 240_000) this.broke(`starved: ${uid}, of the largest, not begun`);
+    }
+    for (const [name, { all, served }] of groups)
+      if (served * 2 < all) this.broke(`starved: ${served} of ${all} of ${name} served`);
+  }
+
   /** Called now and then. */
   check(): void {
     for (const [uid, seen] of this.jobs) {
--- a/src/simulation/workers.ts
+++ b/src/simulation/workers.ts
@@ -67,6 +67,19 @@
     this.dropTasks();
   }
 
+  /** The machine stops with all that is on it and is back at once: its worker counts from 1 again. */
+  beginAnew(): void {
+    this.dropTasks();
+    this.session = 1;
+    this.tick = 0;
+    this.token = 0;
+    this.leaseFromMs = this.clock.steadyMs();
+  }
+
+  get sessionNumber(): number {
+    return this.session;
+  }
+
   private dropTasks(): void {
     for (const task of this.tasks.values())
       if (task.phase === 'running') this.rules.end(task.uid, task.index, this.place.name, false);
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -3,8 +3,10 @@
   LEADER_REQUESTS,
   LEADER_WRITES,
   STATE_CALL_MS,
+  STATE_FAILING_MS,
   STATE_RATE_USED,
   WATCH_GRACE_MS,
+  WATCH_HOLD_MS,
 } from '../constants.js';
 import { CallError, type HttpCaller, type HttpResponse } from '../http/message.js';
 import { formatJson, isObject, isWireInt, parseJson, type WireInt } from '../wire/json.js';
@@ -61,8 +63,8 @@
   readonly writes: RateBudget;
   /** Steady ms of the last call that was served. */
   lastServedMs = -Infinity;
-  /** Whether the last call that ended was served. */
-  failing = false;
+  /** Steady ms since when no call is served; Infinity while calls are. */
+  private failingSinceMs = Infinity;
 
   constructor(
     private readonly caller: HttpCaller,
@@ -87,6 +89,18 @@
     this.writes.setRate(this.limits.writesPerS * part(LEADER_WRITES));
   }
 
+  /** Whether the last call that ended was not served. */
+  get failing(): boolean {
+    return this.failingSinceMs < Infinity;
+  }
+
+  /** Whether the service serves us, as far as can be told: a single lost call does not count. */
+  get isServed(): boolean {
+    const now = this.clock.steadyMs();
+    if (now - this.failingSinceMs > STATE_FAILING_MS) return false;
+    return now - this.lastServedMs < WATCH_HOLD_MS + WATCH_GRACE_MS + STATE_FAILING_MS;
+  }
+
   async page(prefix: string, since: string | undefined, rows: number) {
     const after = since === undefined ? '' : `&since=${since}`;
     const body = await this.served('GET', `/keys?starts=${prefix}${after}&page=${rows}`);
@@ -192,14 +206,19 @@
     if (writes > 0) this.writes.spend(writes);
     try {
       const response = await this.caller.call(this.address, method, target, body, timeoutMs);
-      this.failing = response.status === 503 || response.status === 429;
-      if (!this.failing) this.lastServedMs = this.clock.steadyMs();
+      this.ended(response.status !== 503 && response.status !== 429);
       return response;
     } catch (error) {
-      this.failing = true;
+      this.ended(false);
       throw error;
     }
   }
+
+  private ended(served: boolean): void {
+    const now = this.clock.steadyMs();
+    this.failingSinceMs = served ? Infinity : Math.min(this.failingSinceMs, now);
+    if (served) this.lastServedMs = now;
+  }
 }
 
 function toInt(value: unknown): WireInt {
--- a/test/ledger.test.ts
+++ b/test/ledger.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Report, TaskReport } from '../src/fleet/codec.js';
+import { Health } from '../src/fleet/health.js';
 import { Ledger, type Attempt } from '../src/fleet/ledger.js';
 import { Job } from '../src/pipeline/job.js';
 import { jobSpec } from './fixtures.js';
@@ -110,3 +111,38 @@
   assert.equal(job.bound.size, 0);
   assert.deepEqual(released, [attempt]);
 });
+
+test('answers of which the reports show nothing: the machine does not hear us', () => {
+  const { job, ledger, node, report } = setUp();
+  const health = new Health({
+    ledger,
+    reportS: 1,
+    startedMs: 0,
+    typeOf: () => undefined,
+    jobOf: () => job,
+    isKept: () => false,
+    zoneSilent: () => false,
+  });
+  node.current = true;
+  // Each step: the tasks that the report lists, and whether the machine is usable after it.
+  const steps: [tasks: TaskReport[], usable: boolean][] = [
+    [[], true],
+    [[], true],
+    [[running(0, 7)], true],
+    [[], true],
+    [[], true],
+    [[], true],
+    [[], false],
+  ];
+  steps.forEach(([tasks, usable], i) => {
+    if (node.attempts.size === 0) ledger.plan(job, 0, 7, node, i);
+    ledger.take(node, report(1, i + 1, tasks), true, i);
+    assert.equal(health.isUsable(node, i), usable, `step ${i}`);
+    assert.equal(health.isLost(node, i), !usable, `step ${i}`);
+    for (const attempt of node.attempts.values()) {
+      if (attempt.state !== 'planned') continue;
+      attempt.state = 'sent';
+      attempt.sentTick = i + 1;
+    }
+  });
+});
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -116,8 +116,17 @@
     'red 2',
     'red past its deadlines',
   ]);
-  const order = [...jobs].sort(byRelease(within, (job) => job.dueMs)).map((job) => job.name);
-  assert.deepEqual(order, [
+  const order = (jobs: Named[], starves: string[] = []): string[] =>
+    [...jobs]
+      .sort(
+        byRelease(
+          within,
+          (job) => starves.includes(job.name),
+          (job) => job.dueMs,
+        ),
+      )
+      .map((job) => job.name);
+  assert.deepEqual(order(jobs), [
     'blue prod',
     'red 2',
     'red 1',
@@ -126,6 +135,28 @@
     'red past its deadlines',
     'red idle',
   ]);
+  // One that starves goes with the guaranteed ones.
+  assert.deepEqual(order(jobs.slice(0, 4), ['red past its deadlines'])[2], 'red past its deadlines');
+  assert.deepEqual(order(jobs.slice(0, 4), ['red past its deadlines'])[3], 'red 3 borrows');
+});
+
+test('a job past its deadline, and one without, get their turn before a stream of newer work', () => {
+  const late = waiting('late', 0, Infinity, { dueS: 60 });
+  const undated = waiting('undated', 0, Infinity);
+  // A newer job every 10 s, each due 60 s after it came.
+  const stream = Array.from({ length: 30 }, (_, i) =>
+    waiting(`${i}`, i * 10_000, i * 10_000 + 60_000, { dueS: 60 }),
+  );
+  const order = [late, undated, ...stream].sort(
+    byRelease(
+      new Set<Named>(),
+      () => false,
+      (job) => job.dueMs,
+    ),
+  );
+  const before = (job: Named): number => order.indexOf(job);
+  assert.ok(before(late) > 5 && before(late) < 12, `late after ${before(late)}`);
+  assert.ok(before(undated) > 5 && before(undated) < 15, `undated after ${before(undated)}`);
 });
 
 test('what is rented', () => {
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -1,6 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { absentMeans, isNewer, leaseEndMs, type Absence } from '../src/fleet/lease.js';
+import {
+  absentMeans,
+  isNewer,
+  leaseEndMs,
+  unheardSession,
+  worthOf,
+  type Absence,
+} from '../src/fleet/lease.js';
 import { Authority } from '../src/leadership/authority.js';
 
 test('a lease has surely ended only after its length, the drift of clocks and a margin', () => {
@@ -44,6 +51,40 @@
   for (const [change, meaning] of cases) assert.equal(absentMeans({ ...base, ...change }), meaning);
 });
 
+test('what a report is worth: only one that shows our token was preceded by an answer of ours', () => {
+  const known = { gone: false, current: true };
+  const fresh = { gone: false, current: false };
+  const gone = { gone: true, current: false };
+  const cases: [token: number | bigint, machine: typeof known, worth: ReturnType<typeof worthOf>][] = [
+    [7, known, 'news'],
+    [7, fresh, 'news'],
+    // A copy of an earlier term's report, or of a new worker's: the token is shown, nothing is learned.
+    [6, fresh, 'greet'],
+    [0, fresh, 'greet'],
+    // One that showed our token already can't fall back: a late copy, or a worker that began anew.
+    [6, known, 'nothing'],
+    // A machine that was deleted stays deleted, whatever its copies show.
+    [7, gone, 'nothing'],
+    [6, gone, 'nothing'],
+    // It obeys a later term, and would drop our answer and yet be held here by it.
+    [8, known, 'nothing'],
+    [8n, fresh, 'nothing'],
+  ];
+  for (const [token, machine, worth] of cases) assert.equal(worthOf(token, 7, machine), worth);
+});
+
+test('a session that ended although it was answered shows that answers do not arrive', () => {
+  const known = { session: 1, tick: 9 };
+  const cases: [session: number, answeredMs: number, nowMs: number, unheard: boolean][] = [
+    [2, 9_000, 10_000, true],
+    // Not answered for long: it hung, or was cut off.
+    [2, 0, 10_000, false],
+    [1, 9_000, 10_000, false],
+  ];
+  for (const [session, answeredMs, nowMs, unheard] of cases)
+    assert.equal(unheardSession({ session, tick: 10 }, known, answeredMs, nowMs, 10), unheard);
+});
+
 test('when a leader may answer workers', () => {
   type Step = [atMs: number, act: 'renewed' | 'granted' | 'ended' | 'none', askedMs: number, holds: boolean];
   const cases: [name: string, steps: Step[]][] = [
--- a/test/simulation.test.ts
+++ b/test/simulation.test.ts
@@ -23,8 +23,12 @@
 
 const anyHost = (day: SimDay): string | undefined => [...day.cloud.hosts.keys()][0];
 
+function deafen(day: SimDay, count: number): void {
+  for (const host of [...day.cloud.hosts.keys()].slice(0, count)) day.network.deafen(host);
+}
+
 /** What goes wrong, at which second. Every rule must hold and every array end all the same. */
-const DAYS: { name: string; trouble: (day: SimDay) => void }[] = [
+const DAYS: { name: string; trouble: (day: SimDay) => void; calmS?: number }[] = [
   { name: 'quiet', trouble: () => undefined },
   {
     name: 'controllers crash one after the other',
@@ -94,6 +98,77 @@
       day.at(180, () => day.network.heal());
     },
   },
+  {
+    name: 'machines hear nothing, though their reports arrive, with a crash and a cancellation',
+    trouble: (day) => {
+      day.at(45, () => deafen(day, 4));
+      day.at(52, () => day.submit({ team: 'red', tasks: 4, runS: 90 }, 3));
+      day.at(56, () => day.crash('c1', 3000));
+      day.at(80, () => day.crash('c0', 300));
+      day.at(90, () => day.network.heal());
+    },
+  },
+  {
+    name: 'machines hear nothing while the cloud takes nothing back',
+    trouble: (day) => {
+      day.at(45, () => (day.cloud.down = true));
+      day.at(46, () => deafen(day, 5));
+      day.at(60, () => day.crash('c2', 2000));
+      day.at(85, () => (day.cloud.down = false));
+      day.at(95, () => day.network.heal());
+    },
+  },
+  {
+    name: 'copies of all reports come late, over crashes, an outage, and returns of machines',
+    trouble: (day) => {
+      const copy = (): void => {
+        for (const host of day.cloud.hosts.keys())
+          day.network.copyLate(host, () => 2_000 + day.random() * 40_000);
+      };
+      for (const s of [8, 20, 40, 60, 80]) day.at(s, copy);
+      day.at(40, () => day.cloud.take(anyHost(day) ?? ''));
+      ['c0', 'c1', 'c2'].forEach((c, i) => day.at(50 + i * 12, () => day.crash(c, 200)));
+      day.at(90, () => day.state.refused.add('*'));
+      day.at(100, () => day.state.endOutage());
+      day.at(110, () => day.network.cutZones());
+      day.at(125, () => day.network.heal());
+    },
+  },
+  {
+    name: 'one controller after the other loses the state service and the others, but not its machines',
+    trouble: (day) =>
+      day.members.forEach((c, i) => {
+        day.at(40 + i * 30, () => {
+          for (const other of ['state', ...day.members.filter((m) => m !== c)]) day.network.cut(c, other);
+        });
+        day.at(60 + i * 30, () => day.network.heal());
+      }),
+    calmS: 150,
+  },
+  {
+    name: 'controllers back within a fraction of a second, again and again, also in an election',
+    trouble: (day) => {
+      for (let i = 0; i < 12; i++)
+        day.at(40 + i * 3.1, () => day.crash(day.members[i % 3]!, 50 + day.random() * 300));
+      day.at(90, () => day.members.forEach((c) => day.crash(c, 100)));
+      day.at(91.7, () => day.members.forEach((c) => day.crash(c, 100)));
+      day.at(93.5, () => day.members.forEach((c) => day.crash(c, 100)));
+    },
+  },
+  {
+    name: 'machines back at once with their counters begun anew, copies of their former reports late',
+    trouble: (day) => {
+      day.at(10, () => {
+        for (const host of day.cloud.hosts.keys())
+          day.network.copyLate(host, () => 2_000 + day.random() * 20_000);
+      });
+      for (const s of [45, 60, 75])
+        day.at(s, () =>
+          [...day.cloud.hosts.values()].slice(0, 2).forEach((host) => host.worker?.beginAnew()),
+        );
+      day.at(62, () => day.crash('c0', 200));
+    },
+  },
   {
     name: 'machines die and the cloud is down',
     trouble: (day) => {
@@ -104,13 +179,14 @@
   },
 ];
 
-for (const { name, trouble } of DAYS) {
+for (const { name, trouble, calmS = 130 } of DAYS) {
   for (const seed of [1, 2]) {
     test(`rules hold: ${name} (seed ${seed})`, async () => {
       const day = new SimDay(seed);
       const jobs = load(day);
       trouble(day);
       await day.clock.runUntil(DAY_S * 1000);
+      day.rules.checkServed(calmS * 1000);
       assert.deepEqual(day.rules.broken, []);
       assert.ok(day.rules.started > 30, `only ${day.rules.started} tasks started`);
       assert.deepEqual(
@@ -145,3 +221,121 @@
   assert.deepEqual(day.rules.broken, []);
   assert.equal(day.rules.killedByLease, 0);
 });
+
+test('a machine that hears nothing is given nothing more, and is replaced', async () => {
+  const day = new SimDay(5);
+  load(day);
+  let name: string | undefined;
+  day.at(50, () => {
+    name = anyHost(day);
+    day.network.deafen(name ?? '');
+  });
+  await day.clock.runUntil(50_000 + 45_000);
+  assert.deepEqual(day.rules.broken, []);
+  assert.ok(name !== undefined && !day.cloud.hosts.has(name), 'still rented');
+});
+
+test('a worker that began anew is not ignored for ever: its machine is replaced', async () => {
+  const day = new SimDay(6);
+  load(day);
+  let name: string | undefined;
+  day.at(50, () => {
+    name = anyHost(day);
+    day.cloud.hosts.get(name ?? '')?.worker?.beginAnew();
+  });
+  await day.clock.runUntil(50_000 + 8_000);
+  assert.deepEqual(day.rules.broken, []);
+  assert.ok(name !== undefined && !day.cloud.hosts.has(name), 'still rented');
+});
+
+test('copies of reports bring no machine back and free nothing', async () => {
+  const day = new SimDay(7);
+  load(day);
+  day.at(5, () => {
+    const copy = (): void => {
+      for (const host of day.cloud.hosts.keys())
+        day.network.copyLate(host, () => 5_000 + day.random() * 30_000);
+      day.clock.after(500, copy);
+    };
+    copy();
+  });
+  await day.clock.runUntil(200_000);
+  const quiet = new SimDay(7);
+  load(quiet);
+  await quiet.clock.runUntil(200_000);
+  assert.deepEqual(day.rules.broken, []);
+  // The copies cost no start: a task taken for lost, or held by a ghost, would be started once more.
+  assert.equal(day.rules.killedByLease, 0);
+  assert.ok(
+    day.rules.started <= quiet.rules.started + 2,
+    `${day.rules.started}, ${quiet.rules.started} without`,
+  );
+});
+
+test('a leader without state service and peers stops answering, says so, and others serve', async () => {
+  const day = new SimDay(8);
+  load(day);
+  const seen: Record<string, number[]> = {};
+  let leader = '';
+  const look = async (): Promise<void> => {
+    for (const member of day.members) {
+      const health = await day.askOne(member, 'GET', '/healthz');
+      (seen[member] ??= []).push(health?.status ?? 0);
+    }
+  };
+  day.at(50, async () => {
+    for (const member of day.members) if ((await reportTo(day, member)) === 200) leader = member;
+    for (const other of ['state', ...day.members.filter((m) => m !== leader)]) day.network.cut(leader, other);
+  });
+  day.at(60, look);
+  let afterS = 0;
+  day.at(60, async () => (afterS = await reportTo(day, leader)));
+  await day.clock.runUntil(62_000);
+  assert.notEqual(leader, '');
+  assert.equal(afterS, 503);
+  for (const member of day.members) assert.equal(seen[member]![0], member === leader ? 503 : 200, member);
+  const poll = await Promise.race([
+    day.askOne(
+      day.members.find((m) => m !== leader)!,
+      'GET',
+      '/submissions/job-000002',
+    ),
+    day.clock.runUntil(65_000).then(() => undefined),
+  ]);
+  assert.equal(poll?.status, 200);
+  assert.deepEqual(day.rules.broken, []);
+});
+
+/** The status that a worker gets which nobody knows. */
+async function reportTo(day: SimDay, member: string): Promise<number> {
+  const report = { hearth: 'vm-999999', address: 'x:1', build: 'm4', yard: 'east', loaner: false };
+  const state = { tenure: 1, tick: 1, baton: 0, warningS: null, pieces: [] };
+  return (await day.askOne(member, 'POST', '/v1/report', { ...report, ...state }))?.status ?? 0;
+}
+
+test('in an outage that all share, controllers stay healthy', async () => {
+  const day = new SimDay(9);
+  load(day);
+  const seen: number[] = [];
+  day.at(50, () => day.state.refused.add('*'));
+  day.at(62, async () => {
+    for (const member of day.members) seen.push((await day.askOne(member, 'GET', '/healthz'))?.status ?? 0);
+  });
+  day.at(64, () => day.state.endOutage());
+  await day.clock.runUntil(66_000);
+  assert.deepEqual(seen, [200, 200, 200]);
+});
+
+test('a job of many tasks gets its turn in a steady stream of newer ones', async () => {
+  const day = new SimDay(10, { controllers: 3, machines: 3, scale: 1 });
+  const large = (): SimJob => day.submit({ tasks: 60, runS: 10, dueS: 30 });
+  day.at(5, () => {
+    for (let i = 0; i < 4; i++) day.submit({ tasks: 12, runS: 12, dueS: 60 });
+  });
+  day.at(10, large);
+  for (let i = 0; i < 60; i++) day.at(12 + i * 6, () => day.submit({ tasks: 12, runS: 12, dueS: 60 }));
+  await day.clock.runUntil(420_000);
+  day.rules.checkServed(0);
+  const starved = day.rules.broken.filter((line) => line.includes('largest'));
+  assert.deepEqual(starved, []);
+});
