--- a/src/constants.ts
+++ b/src/constants.ts
@@ -98,8 +98,8 @@
 export const GRANT_MARGIN_MS = 200;
 /** ms: longest random pause before standing, so that two candidates seldom collide. */
 export const STAND_JITTER_MS = 150;
-/** ms: by which a controller stands later for each degree to which it is badly placed for leading. */
-export const STAND_MISPLACED_MS = 200;
+/** ms: by which a controller far from the machines stands later. */
+export const STAND_FAR_MS = 400;
 /** ratio to the fullest zone's machines below which a leader counts as far from them. */
 export const HANDOVER_SHARE = 0.2;
 /** ms: between two handovers of one controller; each stops new starts for a moment. */
@@ -116,6 +116,15 @@
 export const DEPUTY_AFTER_MS = 2_000;
 /** ms: for which a deputy acts on what it read in the state service; a new leader waits this out as well. */
 export const DEPUTY_FRESH_MS = 1_000;
+/**
+ * ms: for which an answer of the leader may be passed on to a worker after its report was sent on. The leader counts
+ * the lease from the end of it, and a new leader waits it out as well.
+ */
+export const RELAY_FRESH_MS = 1_500;
+/** ms: for which a report waits for the leader or a deputy; workers give up after 4 s and turn to another. */
+export const RELAY_GIVE_UP_MS = 3_000;
+/** ms: between two looks for reports that the leader does not answer. */
+export const RELAY_LOOK_MS = 200;
 /** ms: between two looks of a deputy whether the leader is back. */
 export const DEPUTY_TICK_MS = 500;
 /** ms: a direct start that was lost, of a job that is over, is fenced by a new term after this. */
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -1,12 +1,14 @@
 import type { Logger } from 'pino';
 import type { Clock } from './clock.js';
-import { PEER_BEAT_MS, STATE_RETRY_MS } from './constants.js';
+import { PEER_BEAT_MS, RELAY_FRESH_MS, STATE_RETRY_MS } from './constants.js';
+import { readReport, type Report } from './fleet/codec.js';
 import { Frontdoor } from './frontdoor/frontdoor.js';
 import type { HttpCaller, HttpRequest, Respond } from './http/message.js';
 import { Deputy } from './leadership/deputy.js';
 import { Election, type Term } from './leadership/election.js';
 import { Leader } from './leadership/leader.js';
 import type { PeerChannel } from './leadership/peers.js';
+import { Relay } from './leadership/relay.js';
 import type { Settings } from './settings.js';
 import { StateClient } from './state/client.js';
 import { Mirror } from './state/mirror.js';
@@ -35,6 +37,7 @@
   private readonly election: Election;
   private readonly deputy: Deputy;
   private readonly frontdoor: Frontdoor;
+  private readonly relay: Relay;
   private leader: Leader | undefined;
   private counts: Record<string, number> = {};
 
@@ -67,6 +70,7 @@
       writer: this.writer,
       clock,
       log,
+      refuses: (member) => peers.refuses(member),
       heardMs: (member) => this.election.heardOfMs(member),
     });
     this.frontdoor = new Frontdoor({
@@ -75,16 +79,24 @@
       writer: this.writer,
       clock,
       log,
-      member: settings.member,
       running: (uid) => this.counts[uid] ?? 0,
-      leader: () => (this.election.knowsLeader ? this.election.leader() : undefined),
       isHealthy: () => this.election.isHealthy,
-      report: (report, respond) => {
-        const taker = this.leader ?? (this.deputy.wants() ? this.deputy : undefined);
-        taker?.send({ kind: 'report', report, respond });
-        return taker !== undefined;
+      report: (report, body, respond) => this.takeReport(report, body, respond),
+    });
+    this.relay = new Relay({
+      clock,
+      channel: peers,
+      log,
+      leader: () => this.election.heardLeader(),
+      elsewhere: (body, respond) => {
+        const report = this.deputy.wants() ? readReport(body) : undefined;
+        if (report) this.deputy.send({ kind: 'report', report, respond });
+        return report !== undefined;
       },
     });
+    peers.onMessage((member, message) => {
+      if (message.kind === 'relay') this.takeRelayed(member, message.id, message.body);
+    });
     peers.onMessage((_member, message) => {
       if (message.kind === 'counts' && !this.leader) this.counts = message.running;
     });
@@ -133,6 +145,34 @@
     });
   }
 
+  /** Workers are taken in their own zone: there they stay when zones are cut from each other. */
+  private takeReport(report: Report, body: string, respond: Respond): true | string | undefined {
+    const { zone } = this.world.settings;
+    const near = report.zone === zone ? [] : this.election.takers(report.zone);
+    if (near.length > 0) return near[spread(report.node) % near.length];
+    if (this.leader) {
+      this.leader.send({ kind: 'report', report, respond, heldMs: 0 });
+      return true;
+    }
+    if (this.deputy.wants()) {
+      this.deputy.send({ kind: 'report', report, respond });
+      return true;
+    }
+    const leader = this.election.knowsLeader ? this.election.leader() : undefined;
+    if (leader === undefined || leader === this.world.settings.member) return undefined;
+    if (this.world.peers.refuses(leader)) return leader;
+    this.relay.send({ kind: 'report', body, respond });
+    return true;
+  }
+
+  private takeRelayed(member: string, id: number, body: string): void {
+    const respond: Respond = (response) =>
+      this.world.peers.send(member, { kind: 'relayed', id, status: response.status, body: response.body });
+    const report = this.leader && readReport(body);
+    if (report) this.leader!.send({ kind: 'report', report, respond, heldMs: RELAY_FRESH_MS });
+    else respond({ status: 503, body: '{}' });
+  }
+
   private dropLeader(): void {
     this.leader?.stop();
     this.leader = undefined;
@@ -147,3 +187,10 @@
     this.world.clock.after(PEER_BEAT_MS, () => this.shareCounts());
   }
 }
+
+/** A number that spreads machines evenly over the controllers of their zone. */
+function spread(name: string): number {
+  let sum = 0;
+  for (let i = 0; i < name.length; i++) sum = (sum * 31 + name.charCodeAt(i)) >>> 0;
+  return sum;
+}
--- a/src/fleet/codec.ts
+++ b/src/fleet/codec.ts
@@ -1,4 +1,4 @@
-import { isObject, isWireInt, type WireInt } from '../wire/json.js';
+import { isObject, isWireInt, parseJson, type WireInt } from '../wire/json.js';
 
 /** The workers' wire, translated into our terms; the only module that knows its words. */
 export type TaskState = 'fetching' | 'running' | 'saving' | 'exited';
@@ -72,6 +72,15 @@
   };
 }
 
+/** A report as it stood on the wire; undefined when it is not one. */
+export function readReport(body: string): Report | undefined {
+  try {
+    return decodeReport(parseJson(body));
+  } catch {
+    return undefined;
+  }
+}
+
 export function encodeOrders(token: WireInt, orders: Order[], session?: WireInt): unknown {
   const list = orders.map((order) => ({
     verb: order.verb,
--- a/src/frontdoor/frontdoor.ts
+++ b/src/frontdoor/frontdoor.ts
@@ -8,7 +8,7 @@
   SUBMIT_ANSWER_MS,
 } from '../constants.js';
 import type { MachineType } from '../cloud/codec.js';
-import { decodeReport, encodeRedirect, type Report } from '../fleet/codec.js';
+import { encodeRedirect, readReport, type Report } from '../fleet/codec.js';
 import type { HttpRequest, HttpResponse, Respond } from '../http/message.js';
 import type { TeamLimit } from '../placement/rules.js';
 import type { Row } from '../state/client.js';
@@ -25,7 +25,7 @@
 } from '../state/records.js';
 import { TaskSet } from '../state/task-set.js';
 import type { Writer } from '../state/writer.js';
-import { formatJson, parseJson } from '../wire/json.js';
+import { formatJson } from '../wire/json.js';
 import { neverRuns } from './admission.js';
 import {
   ABORT,
@@ -45,13 +45,10 @@
   log: Logger;
   /** Running tasks of a job, for display. */
   running: (uid: string) => number;
-  /** Who leads, and whether it is this controller. */
-  leader: () => string | undefined;
   /** Whether this controller can do something for users. */
   isHealthy: () => boolean;
-  member: string;
-  /** Hands a report to the leader of this process; false when it doesn't lead. */
-  report: (report: Report, respond: Respond) => boolean;
+  /** Hands a report to who deals with it; otherwise the controller that its worker should turn to, if one is known. */
+  report: (report: Report, body: string, respond: Respond) => true | string | undefined;
 }
 
 const RETRY: HttpResponse = { status: 503, body: '{"error":"try again"}', retryAfterS: RETRY_AFTER_S };
@@ -233,17 +230,12 @@
 
   private onReport(request: HttpRequest, respond: Respond): void {
     if (request.method !== 'POST') return respond(problem(405, 'POST only'));
-    let report: Report | undefined;
-    try {
-      report = decodeReport(parseJson(request.body));
-    } catch {
-      report = undefined;
-    }
+    const report = readReport(request.body);
     if (!report) return respond(problem(400, 'no report'));
-    if (this.deps.report(report, respond)) return;
-    const leader = this.deps.leader();
-    if (leader === undefined || leader === this.deps.member) return respond(problem(503, 'no leader'));
-    respond(reply(421, encodeRedirect(leader)));
+    const taker = this.deps.report(report, request.body, respond);
+    if (taker === true) return;
+    if (taker === undefined) return respond(problem(503, 'no leader'));
+    respond(reply(421, encodeRedirect(taker)));
   }
 }
 
--- a/src/leadership/deputy.ts
+++ b/src/leadership/deputy.ts
@@ -24,6 +24,7 @@
   writer: Writer;
   clock: Clock;
   log: Logger;
+  refuses: (member: string) => boolean;
   /** Steady ms at which the member was last heard of over the peers' channel. */
   heardMs: (member: string) => number;
 }
@@ -70,7 +71,8 @@
   /** True if it deals with the report: the leader stands in the state service, and is not heard of here. */
   wants(): boolean {
     const leader = this.leader();
-    if (!leader || leader.member === this.deps.member) return false;
+    // One that refuses our connections is there: its workers reach it, and need no deputy.
+    if (!leader || leader.member === this.deps.member || this.deps.refuses(leader.member)) return false;
     return this.deps.clock.steadyMs() - this.deps.heardMs(leader.member) > DEPUTY_AFTER_MS;
   }
 
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -14,7 +14,7 @@
   LEADER_TTL_MS,
   PEER_BEAT_MS,
   STAND_JITTER_MS,
-  STAND_MISPLACED_MS,
+  STAND_FAR_MS,
   STATE_CALL_MS,
   STATE_FAILING_MS,
 } from '../constants.js';
@@ -67,6 +67,8 @@
   private madeWayUntilMs = -Infinity;
   private nextHandOverMs = -Infinity;
   private readonly able = new Set<string>();
+  /** Whose reports each other controller would relay. */
+  private readonly relays = new Map<string, string | null>();
   private promisedUntilMs: number;
   private askId = 0;
   private readonly heardMs = new Map<string, number>();
@@ -111,7 +113,9 @@
   private tellAble(): void {
     const now = this.clock.steadyMs();
     const able = this.client.isServed && now >= this.madeWayUntilMs;
-    for (const peer of this.peers) this.channel.send(peer.member, { kind: 'able', able });
+    const leader = this.leader();
+    const relays = leader !== undefined && this.hears(leader) ? leader : null;
+    for (const peer of this.peers) this.channel.send(peer.member, { kind: 'able', able, relays });
     this.clock.after(PEER_BEAT_MS, () => this.tellAble());
   }
 
@@ -137,6 +141,21 @@
     return leader !== undefined && (this.client.isServed || this.hears(leader));
   }
 
+  /** The leader, if it is heard of and not this controller. */
+  heardLeader(): string | undefined {
+    const leader = this.leader();
+    return leader !== undefined && leader !== this.self.member && this.hears(leader) ? leader : undefined;
+  }
+
+  /** The controllers of a zone that take reports for the leader, or lead; in a fixed order. */
+  takers(zone: string): string[] {
+    const leader = this.leader();
+    if (leader === undefined) return [];
+    const takes = ({ member }: Peer): boolean =>
+      this.hears(member) && (member === leader || this.relays.get(member) === leader);
+    return this.peers.filter((peer) => peer.zone === zone && takes(peer)).map((peer) => peer.member);
+  }
+
   private hears(member: string): boolean {
     return this.clock.steadyMs() - this.heardOfMs(member) < 3 * PEER_BEAT_MS;
   }
@@ -228,40 +247,31 @@
     return counts;
   }
 
-  /**
-   * How badly placed a controller is for leading; the least is best. A leader in a zone with nearly no machines is cut
-   * off from all of them when the zones are. And where the next controller in order stands in the leader's own zone,
-   * cut-off workers turn to that one first, in vain, and find a deputy only when their lease has ended.
-   */
-  private misplacement(member: string, machines: ReadonlyMap<string, number>): number {
-    const all = [this.self, ...this.peers].sort((a, b) => (a.member < b.member ? -1 : 1));
-    const at = all.findIndex((each) => each.member === member);
-    const { zone } = all[at]!;
+  /** A leader in a zone with nearly no machines is cut off from all of them when the zones are. */
+  private isFar(member: string, machines: ReadonlyMap<string, number>): boolean {
+    const zone = [this.self, ...this.peers].find((each) => each.member === member)!.zone;
     const most = Math.max(0, ...machines.values());
-    const far = most >= HANDOVER_MACHINES && (machines.get(zone) ?? 0) <= most * HANDOVER_SHARE;
-    const next = all[(at + 1) % all.length]!;
-    return (far ? 2 : 0) + (next.zone === zone ? 1 : 0);
+    return most >= HANDOVER_MACHINES && (machines.get(zone) ?? 0) <= most * HANDOVER_SHARE;
   }
 
   private standDelayMs(): number {
-    return this.misplacement(this.self.member, this.machinesByZone()) * STAND_MISPLACED_MS;
+    return this.isFar(this.self.member, this.machinesByZone()) ? STAND_FAR_MS : 0;
   }
 
-  /** A leader makes way for a better placed controller that is heard of. */
+  /** A leader far from the machines makes way for a controller among them that is heard of. */
   private maybeHandOver(): void {
     const now = this.clock.steadyMs();
     // Seldom, and only to one that says it could lead: a peer may be heard that the state service does not serve.
     if (now - this.leading!.sinceMs < HANDOVER_AFTER_MS || now < this.nextHandOverMs || this.client.failing)
       return;
     const machines = this.machinesByZone();
-    const own = this.misplacement(this.self.member, machines);
-    if (own === 0) return;
+    if (!this.isFar(this.self.member, machines)) return;
     const better = this.peers.find(
       (peer) =>
         this.able.has(peer.member) &&
         now - (this.upSinceMs.get(peer.member) ?? Infinity) > HANDOVER_AFTER_MS &&
         now - this.heardOfMs(peer.member) < 2 * PEER_BEAT_MS &&
-        this.misplacement(peer.member, machines) < own,
+        !this.isFar(peer.member, machines),
     );
     if (!better) return;
     this.nextHandOverMs = now + HANDOVER_PAUSE_MS;
@@ -387,6 +397,7 @@
     if (message.kind === 'able') {
       if (message.able) this.able.add(member);
       else this.able.delete(member);
+      this.relays.set(member, message.relays);
     } else if (message.kind === 'ask') {
       const given = this.mayPromise(message.term);
       if (given) {
--- a/src/leadership/leader.ts
+++ b/src/leadership/leader.ts
@@ -15,11 +15,12 @@
   PASS_EVERY_MS,
   PASS_REST,
   PASS_SPACING_MS,
+  RELAY_FRESH_MS,
   SAVE_LEEWAY_S,
   STARVED_MS,
   UNHEARD_ANSWERS,
 } from '../constants.js';
-import { decodeReport, encodeOrders, type ExitCause, type Order, type Report } from '../fleet/codec.js';
+import { encodeOrders, readReport, type ExitCause, type Order, type Report } from '../fleet/codec.js';
 import { Health } from '../fleet/health.js';
 import { leaseEndMs, worthOf } from '../fleet/lease.js';
 import { Ledger, attemptKey, type Attempt, type Node } from '../fleet/ledger.js';
@@ -35,7 +36,7 @@
 import type { Mirror } from '../state/mirror.js';
 import { CATALOG_KEY, KEPT, decodeKept, isJobKey, isKeptKey } from '../state/records.js';
 import type { Writer } from '../state/writer.js';
-import { formatJson, parseJson, type WireInt } from '../wire/json.js';
+import { formatJson, type WireInt } from '../wire/json.js';
 import type { Term } from './election.js';
 import { JobStore, type StoreEnd } from './job-store.js';
 
@@ -54,7 +55,8 @@
 }
 
 type Message =
-  | { kind: 'report'; report: Report; respond: Respond }
+  /** `heldMs`: for this long the answer may be under way through another controller. */
+  | { kind: 'report'; report: Report; respond: Respond; heldMs: number }
   | { kind: 'changed'; change: Change }
   | { kind: 'cloud'; event: CloudEvent }
   | {
@@ -202,7 +204,7 @@
   protected receive(message: Message): void {
     switch (message.kind) {
       case 'report':
-        return this.onReport(message.report, message.respond);
+        return this.onReport(message);
       case 'changed':
         return this.onChanged(message.change);
       case 'cloud':
@@ -244,8 +246,11 @@
       if (!used) continue;
       // It may hold tasks: it counts until it reports with our token, is deleted, or its lease has surely run
       // out. Whoever led before us answered it before our term began at the latest.
-      // A deputy may have answered it for a moment longer.
-      node.leaseEndMs = leaseEndMs(now + DEPUTY_FRESH_MS, this.deps.settings.leaseS);
+      // A deputy may have answered it for a moment longer, and an answer may have been under way through a relay.
+      node.leaseEndMs = leaseEndMs(
+        now + Math.max(DEPUTY_FRESH_MS, RELAY_FRESH_MS),
+        this.deps.settings.leaseS,
+      );
       this.unaccounted.add(node);
     }
     for (const row of [...this.deps.mirror.startingWith(KEPT)]) {
@@ -353,7 +358,7 @@
    * What a report is worth (fleet/lease.ts): only one that shows our token proves that an answer of ours was received,
    * so only from such a report on is anything learned of a machine.
    */
-  private onReport(report: Report, respond: Respond): void {
+  private onReport({ report, respond, heldMs }: Extract<Message, { kind: 'report' }>): void {
     const now = this.now();
     const { term } = this.deps;
     let node = this.ledger.nodes.get(report.node);
@@ -361,7 +366,7 @@
       gone: this.goneMs.has(report.node),
       current: node?.current ?? false,
     });
-    if (worth === 'greet') return this.greet(node, report, respond, now);
+    if (worth === 'greet') return this.greet(node, report, respond, heldMs);
     if (worth === 'nothing') return respond(NOT_ANSWERED);
     if (!node) {
       const { node: name, address, type, zone, spot } = report;
@@ -386,12 +391,13 @@
     }
     // Checked last, right before the answer goes out.
     if (!term.authority.holds(this.now())) return respond(NOT_ANSWERED);
-    this.ledger.answered(node, this.now());
+    this.ledger.answered(node, this.now() + heldMs);
     respond({ status: 200, body: formatJson(encodeOrders(term.number, orders)) });
   }
 
   /** Shows our token to a worker that does not know it yet, and says nothing else. */
-  private greet(node: Node | undefined, report: Report, respond: Respond, now: number): void {
+  private greet(node: Node | undefined, report: Report, respond: Respond, heldMs: number): void {
+    const now = this.now();
     if (node) {
       if (node.greetedMs === -Infinity) node.greetedMs = now;
       // Answers do not reach it: its lease must run out for us too, or its tasks would be waited for without end.
@@ -402,7 +408,7 @@
     }
     if (!this.deps.term.authority.holds(this.now())) return respond(NOT_ANSWERED);
     // A machine without record holds no task of ours, so its lease is of no matter.
-    if (node) this.ledger.answered(node, this.now());
+    if (node) this.ledger.answered(node, this.now() + heldMs);
     respond({ status: 200, body: formatJson(encodeOrders(this.deps.term.number, [])) });
   }
 
@@ -490,7 +496,7 @@
     if (notExecuted) for (const attempt of sent) if (attempt.state === 'sent') attempt.state = 'planned';
     if (status !== 200 && status !== 409) return;
     if (this.ledger.nodes.get(node.name) !== node) return;
-    const report = safeReport(body);
+    const report = readReport(body);
     if (report?.token === this.deps.term.number && this.ledger.take(node, report, false, this.now()))
       this.seen(node);
     this.passSoon();
@@ -747,11 +753,3 @@
     return now - node.idleSinceMs > keepMs && now - node.rentedMs > LEAST_CHARGE_MS;
   }
 }
-
-function safeReport(body: string): Report | undefined {
-  try {
-    return decodeReport(parseJson(body));
-  } catch {
-    return undefined;
-  }
-}
--- a/src/leadership/peers.ts
+++ b/src/leadership/peers.ts
@@ -13,8 +13,14 @@
   /** Leader to peer: promise not to stand. */
   | { kind: 'ask'; id: number; term: number }
   | { kind: 'promise'; id: number; given: boolean }
-  /** Whether the sender could lead: the state service serves it, and it made way for nobody a moment ago. */
-  | { kind: 'able'; able: boolean }
+  /**
+   * Whether the sender could lead: the state service serves it, and it made way for nobody a moment ago. And whose
+   * workers' reports it would relay: the leader, if it hears it.
+   */
+  | { kind: 'able'; able: boolean; relays: string | null }
+  /** To the leader: a worker's report, and its answer. */
+  | { kind: 'relay'; id: number; body: string }
+  | { kind: 'relayed'; id: number; status: number; body: string }
   | { kind: 'beat' };
 
 export interface Peer {
@@ -26,6 +32,8 @@
 /** The channel to the other controllers; real one over TCP, simulated in tests. */
 export interface PeerChannel {
   send(member: string, message: PeerMessage): void;
+  /** Whether the peer's host is there but takes no connection of ours: no sign of a cut. */
+  refuses(member: string): boolean;
   onMessage(listener: (member: string, message: PeerMessage) => void): void;
 }
 
@@ -60,6 +68,7 @@
 export class PeerLinks implements PeerChannel {
   private readonly outgoing = new Map<string, Socket>();
   private readonly listeners: ((member: string, message: PeerMessage) => void)[] = [];
+  private readonly refusing = new Set<string>();
   private server: Server | undefined;
 
   constructor(
@@ -73,6 +82,10 @@
     this.listeners.push(listener);
   }
 
+  refuses(member: string): boolean {
+    return this.refusing.has(member);
+  }
+
   send(member: string, message: PeerMessage): void {
     const socket = this.outgoing.get(member);
     // A peer that doesn't read is not allowed to fill our memory.
@@ -115,10 +128,15 @@
     let stopBeat = (): void => undefined;
     const giveUp = this.clock.after(PEER_SILENT_MS, () => socket.destroy());
     socket.setNoDelay(true);
-    socket.on('error', () => socket.destroy());
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === 'ECONNREFUSED') this.refusing.add(peer.member);
+      else this.refusing.delete(peer.member);
+      socket.destroy();
+    });
     socket.on('data', () => undefined);
     socket.on('connect', () => {
       giveUp();
+      this.refusing.delete(peer.member);
       socket.write(frame({ member: this.self }));
       this.outgoing.set(peer.member, socket);
       const beat = (): void => {
--- /dev/null
+++ b/src/leadership/relay.ts
@@ -0,0 +1,112 @@
+import type { Logger } from 'pino';
+import { Actor } from '../actor.js';
+import type { Clock } from '../clock.js';
+import { RELAY_FRESH_MS, RELAY_GIVE_UP_MS, RELAY_LOOK_MS } from '../constants.js';
+import type { Respond } from '../http/message.js';
+import type { PeerChannel, PeerMessage } from './peers.js';
+
+export interface RelayDeps {
+  clock: Clock;
+  channel: PeerChannel;
+  log: Logger;
+  /** The leader, if it is heard of and can be spoken to. */
+  leader: () => string | undefined;
+  /** Deals with a report that the leader does not answer; false: not now. */
+  elsewhere: (body: string, respond: Respond) => boolean;
+}
+
+interface Waiting {
+  body: string;
+  respond: Respond;
+  receivedMs: number;
+  /** Whom it was sent on to last, and when. */
+  to: string | undefined;
+  passedMs: number;
+}
+
+type Message =
+  | { kind: 'report'; body: string; respond: Respond }
+  | { kind: 'relayed'; id: number; status: number; body: string }
+  | { kind: 'look' };
+
+const NOT_NOW = { status: 503, body: '{}' };
+
+/**
+ * Carries workers' reports to the leader and its answers back, so that workers stay with a controller of their own
+ * zone: a leader then holds a few connections instead of hundreds, a change of leader moves no worker, and in a cut
+ * the worker is already where a deputy is. An answer is passed on only for a moment after the report was sent on; the
+ * leader counts the lease from the end of that moment (docs/design.md).
+ */
+export class Relay extends Actor<Message> {
+  private readonly waiting = new Map<number, Waiting>();
+  private seq = 0;
+  private looking = false;
+
+  constructor(private readonly deps: RelayDeps) {
+    super(deps.log);
+    deps.channel.onMessage((_member, message: PeerMessage) => {
+      if (message.kind === 'relayed')
+        this.send({ kind: 'relayed', id: message.id, status: message.status, body: message.body });
+    });
+  }
+
+  protected receive(message: Message): void {
+    switch (message.kind) {
+      case 'report': {
+        const { body, respond } = message;
+        const receivedMs = this.deps.clock.steadyMs();
+        this.pass({ body, respond, receivedMs, to: undefined, passedMs: NaN });
+        return this.lookLater();
+      }
+      case 'relayed':
+        return this.onRelayed(message);
+      case 'look':
+        this.looking = false;
+        this.look();
+    }
+  }
+
+  /** Under a new number each time: an answer of a former leader to the same report is of no use. */
+  private pass(report: Waiting): void {
+    const id = ++this.seq;
+    this.waiting.set(id, report);
+    const leader = this.deps.leader();
+    if (leader === undefined) return;
+    report.to = leader;
+    report.passedMs = this.deps.clock.steadyMs();
+    this.deps.channel.send(leader, { kind: 'relay', id, body: report.body });
+  }
+
+  private onRelayed({ id, status, body }: Extract<Message, { kind: 'relayed' }>): void {
+    const report = this.waiting.get(id);
+    if (!report) return;
+    this.waiting.delete(id);
+    const fresh = this.deps.clock.steadyMs() - report.passedMs < RELAY_FRESH_MS;
+    report.respond(fresh ? { status, body } : NOT_NOW);
+  }
+
+  /** What the leader does not answer goes to another leader, or to the deputy once that takes over. */
+  private look(): void {
+    const now = this.deps.clock.steadyMs();
+    const leader = this.deps.leader();
+    for (const [id, report] of [...this.waiting]) {
+      const late = report.to === undefined || now - report.passedMs >= RELAY_FRESH_MS;
+      if (late && this.deps.elsewhere(report.body, report.respond)) {
+        this.waiting.delete(id);
+      } else if (now - report.receivedMs >= RELAY_GIVE_UP_MS) {
+        this.waiting.delete(id);
+        report.respond(NOT_NOW);
+      } else if (leader !== undefined && leader !== report.to) {
+        this.waiting.delete(id);
+        this.pass(report);
+      }
+    }
+    this.lookLater();
+  }
+
+  private lookLater(): void {
+    if (this.looking || this.waiting.size === 0) return;
+    this.looking = true;
+    this.deps.clock.after(RELAY_LOOK_MS, () => this.send({ kind: 'look' }));
+  }
+}
--- a/src/simulation/network.ts
+++ b/src/simulation/network.ts
@@ -131,6 +131,7 @@
       send: (to, message) => {
         if (isAlive()) this.network.deliver(member, to, () => this.listeners.get(to)?.(member, message));
       },
+      refuses: () => false,
       onMessage: (listener) => own.push(listener),
     };
   }
--- a/src/simulation/rules.ts
+++ b/src/simulation/rules.ts
@@ -30,6 +30,9 @@
   readonly broken: string[] = [];
   readonly jobs = new Map<string, Seen>();
   started = 0;
+  /** Starts of tasks that had started before. */
+  startedAgain = 0;
+  private readonly begun = new Set<string>();
   /** Tasks that ended because their worker's lease ran out. */
   killedByLease = 0;
 
@@ -57,6 +60,8 @@
     const seen = this.jobs.get(uid)!;
     const { job } = seen;
     this.started++;
+    if (this.begun.has(`${uid}/${task}`)) this.startedAgain++;
+    this.begun.add(`${uid}/${task}`);
     const other = seen.on.get(task);
     if (other) this.broke(`ran_twice: ${uid}/${task} on ${other.node} and ${place.node}`);
     if (place.spot && !job.spot) this.broke(`wrong_place: ${uid}/${task} on spot`);
--- a/test/simulation.test.ts
+++ b/test/simulation.test.ts
@@ -251,25 +251,22 @@
 test('copies of reports bring no machine back and free nothing', async () => {
   const day = new SimDay(7);
   load(day);
+  let copies = 0;
   day.at(5, () => {
     const copy = (): void => {
       for (const host of day.cloud.hosts.keys())
-        day.network.copyLate(host, () => 5_000 + day.random() * 30_000);
+        day.network.copyLate(host, () => 5_000 + ((copies++ * 7_919) % 30_000));
       day.clock.after(500, copy);
     };
     copy();
   });
   await day.clock.runUntil(200_000);
-  const quiet = new SimDay(7);
-  load(quiet);
-  await quiet.clock.runUntil(200_000);
   assert.deepEqual(day.rules.broken, []);
-  // The copies cost no start: a task taken for lost, or held by a ghost, would be started once more.
+  assert.ok(copies > 500);
+  // A task taken for lost, or thought to run on a machine that is gone, would be started once more, or late.
   assert.equal(day.rules.killedByLease, 0);
-  assert.ok(
-    day.rules.started <= quiet.rules.started + 2,
-    `${day.rules.started}, ${quiet.rules.started} without`,
-  );
+  assert.equal(day.rules.startedAgain, 0);
+  assert.ok([...day.cloud.hosts.keys()].length <= 12, 'ghosts are counted as machines');
 });
 
 test('a leader without state service and peers stops answering, says so, and others serve', async () => {
