--- a/src/constants.ts
+++ b/src/constants.ts
@@ -233,6 +233,12 @@
 export const UNDATED_TURN_MS = 120_000;
 /** ms: a job of which no task runs after waiting this long counts as guaranteed: the largest must begin in time. */
 export const STARVED_MS = 100_000;
+/** ms: over which the arrivals of a class are counted when room is kept ready for it. */
+export const SPARE_WINDOW_MS = 180_000;
+/** ratio: of the tasks expected while a machine boots for which room is kept ready; jobs do not come evenly. */
+export const SPARE_MARGIN = 1.5;
+/** jobs: of average size for which room is kept ready at the most. */
+export const SPARE_JOBS_MAX = 3;
 /** s: expected time from renting to a task's start beyond the catalogue's boot time (image, report). */
 export const START_EXTRA_S = 8;
 /** s: how long a stopped task is given to save when its machine has to be cleared. */
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -88,6 +88,10 @@
       channel: peers,
       log,
       leader: () => this.election.heardLeader(),
+      refusingLeader: () => {
+        const leader = this.election.knowsLeader ? this.election.leader() : undefined;
+        return leader !== undefined && peers.refuses(leader) ? leader : undefined;
+      },
       elsewhere: (body, respond) => {
         const report = this.deputy.wants() ? readReport(body) : undefined;
         if (report) this.deputy.send({ kind: 'report', report, respond });
--- a/src/leadership/leader.ts
+++ b/src/leadership/leader.ts
@@ -167,6 +167,9 @@
       types: () => this.types,
       capacityOf: (type) => this.capacityOf(type),
       useSpot: settings.operator.useSpot,
+      startObjectives: settings.startObjectives,
+      arrivals: () => [...this.store.jobs.values()].filter((job) => job.isService && job.isOpen),
+      wallMs: () => clock.wallMs(),
       ask: (rental) => this.cloud.send({ kind: 'rent', rental }),
     });
     this.records = new NodeRecords({
@@ -583,7 +586,7 @@
   }
 
   private giveBack(node: Node, reason: string): void {
-    if (node.returning) return;
+    if (node.returning || !this.deps.term.authority.holds(this.now())) return;
     node.returning = true;
     this.log.info({ node: node.name, reason }, 'returning machine');
     this.cloud.send({ kind: 'giveBack', names: [node.name] });
@@ -609,6 +612,11 @@
   private pass(): void {
     const now = this.now();
     this.passDueMs = Infinity;
+    // Without authority it hears no machine, and another may lead: what it would take for silent and return runs on.
+    if (!this.deps.term.authority.holds(now)) {
+      this.schedulePass(now + PASS_EVERY_MS);
+      return;
+    }
     this.health.look(now);
     this.checkNodes(now);
     const open: Job[] = [];
@@ -750,6 +758,7 @@
   }
 
   private ledgerIdle(node: Node, now: number, keepMs: number): boolean {
+    if (this.renter.isKept(node)) return false;
     return now - node.idleSinceMs > keepMs && now - node.rentedMs > LEAST_CHARGE_MS;
   }
 }
--- a/src/leadership/peers.ts
+++ b/src/leadership/peers.ts
@@ -148,8 +148,10 @@
     socket.on('close', () => {
       giveUp();
       stopBeat();
-      if (this.outgoing.get(peer.member) === socket) this.outgoing.delete(peer.member);
-      this.clock.after(PEER_RETRY_MS, () => this.dial(peer));
+      // One that was there is tried again at once: whether it refuses us tells a filter from a cut.
+      const wasThere = this.outgoing.get(peer.member) === socket;
+      if (wasThere) this.outgoing.delete(peer.member);
+      this.clock.after(wasThere ? 0 : PEER_RETRY_MS, () => this.dial(peer));
     });
     socket.connect({ host, port });
   }
--- a/src/leadership/relay.ts
+++ b/src/leadership/relay.ts
@@ -2,15 +2,19 @@
 import { Actor } from '../actor.js';
 import type { Clock } from '../clock.js';
 import { RELAY_FRESH_MS, RELAY_GIVE_UP_MS, RELAY_LOOK_MS } from '../constants.js';
+import { encodeRedirect } from '../fleet/codec.js';
 import type { Respond } from '../http/message.js';
+import { formatJson } from '../wire/json.js';
 import type { PeerChannel, PeerMessage } from './peers.js';
 
 export interface RelayDeps {
   clock: Clock;
   channel: PeerChannel;
   log: Logger;
-  /** The leader, if it is heard of and can be spoken to. */
+  /** The leader, if it is heard of. */
   leader: () => string | undefined;
+  /** The leader, if its host is there but refuses our connections: workers can reach it, we can't. */
+  refusingLeader: () => string | undefined;
   /** Deals with a report that the leader does not answer; false: not now. */
   elsewhere: (body: string, respond: Respond) => boolean;
 }
@@ -89,7 +93,13 @@
   private look(): void {
     const now = this.deps.clock.steadyMs();
     const leader = this.deps.leader();
+    const refusing = this.deps.refusingLeader();
     for (const [id, report] of [...this.waiting]) {
+      if (refusing !== undefined) {
+        this.waiting.delete(id);
+        report.respond({ status: 421, body: formatJson(encodeRedirect(refusing)) });
+        continue;
+      }
       const late = report.to === undefined || now - report.passedMs >= RELAY_FRESH_MS;
       if (late && this.deps.elsewhere(report.body, report.respond)) {
         this.waiting.delete(id);
--- a/src/main.ts
+++ b/src/main.ts
@@ -54,7 +54,10 @@
     process.exit(EXIT_LISTEN);
   }
   controller.start();
-  log.info({ address: settings.publicAddress }, 'controller started');
+  log.info(
+    { address: settings.publicAddress, startObjectives: settings.startObjectives },
+    'controller started',
+  );
 }
 
 const program = new Command('pumicehinge-controller')
--- a/src/placement/rent.ts
+++ b/src/placement/rent.ts
@@ -1,6 +1,6 @@
 import { PATIENCE_S, START_EXTRA_S } from '../constants.js';
 import type { MachineType, Offer } from '../cloud/codec.js';
-import type { Resources } from '../fleet/ledger.js';
+import type { Node, Resources } from '../fleet/ledger.js';
 import type { JobSpec } from '../state/records.js';
 import { allowsPlace, allowsZone, fits, slots, zoneRoom } from './rules.js';
 
@@ -26,6 +26,10 @@
   readyS: number;
   /** Room of a running task: nobody can say for sure when it ends, so live services don't wait for it. */
   busy: boolean;
+  /** The machine whose room can be had at once for spare room; undefined: not there yet. */
+  node?: Node;
+  /** Whether something of a demand was counted on it. */
+  taken?: boolean;
 }
 
 export interface RentalPlan {
@@ -43,9 +47,27 @@
  * What to rent so that every waiting task has room: what is already coming is counted first, then the cheapest
  * per task that is up in time, or the soonest when none is.
  */
-export function planRentals(demands: Demand[], coming: Coming[], market: Market): RentalPlan[] {
+export function planRentals(
+  demands: Demand[],
+  coming: Coming[],
+  market: Market,
+  spares: Demand[] = [],
+  ready: Coming[] = [],
+): { plans: RentalPlan[]; kept: Set<Node> } {
   const pool = coming.map((node) => ({ ...node, free: { ...node.free } }));
   const plans = new Map<string, RentalPlan>();
+  serve(demands, pool, plans, market);
+  // Spare room comes last; it counts what could be had at once, and that is then kept.
+  const spare = [
+    ...ready.map((node) => ({ ...node, free: { ...node.free } })),
+    ...pool.filter((c) => !c.busy),
+  ];
+  serve(spares, spare, plans, market);
+  const kept = new Set(spare.filter((c) => c.taken).flatMap((c) => (c.node ? [c.node] : [])));
+  return { plans: [...plans.values()], kept };
+}
+
+function serve(demands: Demand[], pool: Coming[], plans: Map<string, RentalPlan>, market: Market): void {
   for (const demand of demands) {
     const zones = new Map(demand.zones);
     let left = demand.count;
@@ -53,6 +75,7 @@
       const count = Math.min(left, slots(demand.spec, place.free), zoneRoom(demand.spec, zones, place.zone));
       if (count <= 0) return;
       left -= count;
+      place.taken = true;
       place.free.cpus -= count * demand.spec.cpus;
       place.free.accelerators -= count * demand.spec.accelerators;
       place.free.memGb -= count * demand.spec.memGb;
@@ -69,7 +92,6 @@
       take(place);
     }
   }
-  return [...plans.values()];
 }
 
 /** Whether room that is there later still serves: a machine on its way always, a busy one if the deadline allows. */
--- a/src/placement/renter.ts
+++ b/src/placement/renter.ts
@@ -2,11 +2,13 @@
 import { offerKey, type MachineType, type Offer } from '../cloud/codec.js';
 import { REFUSED_MS, RENT_MAX, RENT_SPACING_MS, START_EXTRA_S } from '../constants.js';
 import type { Health } from '../fleet/health.js';
-import type { Ledger, Resources } from '../fleet/ledger.js';
+import type { Ledger, Node, Resources } from '../fleet/ledger.js';
 import type { Job } from '../pipeline/job.js';
 import type { Placer } from './placer.js';
 import { planRentals, type Coming, type Demand } from './rent.js';
+import { addTo } from './preempt.js';
 import { slots } from './rules.js';
+import { spareRoom, type Arrival, type StartObjective } from './spare.js';
 
 export interface RenterDeps {
   ledger: Ledger;
@@ -17,6 +19,10 @@
   types: () => ReadonlyMap<string, MachineType>;
   capacityOf: (type: string) => Resources;
   useSpot: boolean;
+  startObjectives: StartObjective[];
+  /** Live jobs, for reckoning spare room. */
+  arrivals: () => Arrival[];
+  wallMs: () => number;
   ask: (rental: Rental) => void;
 }
 
@@ -26,6 +32,7 @@
   private readonly refusedUntil = new Map<string, number>();
   private rentalSeq = 0;
   private rentedMs = -Infinity;
+  private kept: ReadonlySet<Node> = new Set();
   /** Machines that an earlier leader rented show in the list; without it they would be rented twice. */
   listed = false;
 
@@ -67,11 +74,23 @@
           leftS,
         });
     }
-    if (demands.length === 0) return;
-    const plans = planRentals(demands, this.coming(now), {
-      types: [...this.deps.types().values()],
-      refused: (offer) => this.isRefused(offer, now),
-    });
+    const types = [...this.deps.types().values()];
+    const spares = spareRoom(this.deps.startObjectives, this.deps.arrivals(), types, this.deps.wallMs());
+    if (demands.length === 0 && spares.length === 0) return;
+    const market = { types, refused: (offer: Offer) => this.isRefused(offer, now) };
+    const kept = spares.map(({ spec, count }): Demand => ({
+      spec,
+      expectedS: 0,
+      count,
+      zones: new Map(),
+      ordinary: true,
+      waitedS: 0,
+      leftS: Infinity,
+    }));
+    const ready = spares.length > 0 ? this.ready(now) : [];
+    const result = planRentals(demands, this.coming(now), market, kept, ready);
+    this.kept = result.kept;
+    const { plans } = result;
     for (const plan of plans) {
       for (let left = plan.count; left > 0; left -= RENT_MAX) {
         const name = `r-${this.deps.term}-${++this.rentalSeq}`;
@@ -82,6 +101,26 @@
     }
   }
 
+  /** Room on ordinary machines that a live service could have at once: free, or of what it may stop. */
+  private ready(now: number): Coming[] {
+    const ready: Coming[] = [];
+    for (const node of this.deps.ledger.nodes.values()) {
+      if (node.spot || !node.recorded || !this.deps.health.isUsable(node, now)) continue;
+      const free = { ...this.deps.ledger.free(node) };
+      for (const a of node.attempts.values())
+        if (a.state !== 'exited' && a.job && a.job.rank !== 'prod') addTo(free, a.size, 1);
+      const { type, zone, spot } = node;
+      ready.push({ type, zone, spot, free, readyS: 0, busy: false, node });
+    }
+    // The fullest first, so that idle machines are kept only for what fits nowhere else.
+    return ready.sort((a, b) => a.free.cpus - b.free.cpus);
+  }
+
+  /** Whether the machine is kept for spare room. */
+  isKept(node: Node): boolean {
+    return this.kept.has(node);
+  }
+
   /** The preferred member fails when no spot machine can be had. */
   private considerSpot(job: Job, now: number): void {
     if (!job.isOpen) return;
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -6,6 +6,7 @@
 import type { Peer } from './leadership/peers.js';
 import type { Objective } from './pipeline/job-pipeline.js';
 import type { TeamLimit } from './placement/rules.js';
+import type { StartObjective } from './placement/spare.js';
 
 export interface Settings {
   member: string;
@@ -19,6 +20,7 @@
   zones: string[];
   teams: TeamLimit[];
   objectives: Objective[];
+  startObjectives: StartObjective[];
   reportS: number;
   leaseS: number;
   cancelS: number;
@@ -48,7 +50,7 @@
     count: number;
     zones: string[];
     teams?: { name: string; cpus: number; cpus_max: number; gpus: number; gpus_max: number }[];
-    objectives?: { kind: string; class?: string; share?: number; times?: number }[];
+    objectives?: { kind: string; class?: string; share?: number; times?: number; within_s?: number }[];
     workers: { report_s: number; lease_s: number; cancel_s: number };
     state: { rps: number; write_rps: number; value_kb: number; txn_ops: number };
     cloud: { rps: number; list_lag_s: number };
@@ -108,6 +110,9 @@
     objectives: (d.objectives ?? [])
       .filter((o) => o.kind === 'deadline' && o.class !== undefined)
       .map((o) => ({ cohort: o.class!, share: o.share ?? 1, times: o.times ?? 1 })),
+    startObjectives: (d.objectives ?? [])
+      .filter((o) => o.kind === 'wait' && o.class !== undefined && o.within_s !== undefined)
+      .map((o) => ({ cohort: o.class!, withinS: o.within_s! })),
     reportS: d.workers.report_s,
     leaseS: d.workers.lease_s,
     cancelS: d.workers.cancel_s,
--- a/src/simulation/day.ts
+++ b/src/simulation/day.ts
@@ -65,6 +65,7 @@
       },
     ],
     objectives: [{ cohort: 'batch', share: 0.9, times: 1 }],
+    startObjectives: [],
     reportS: REPORT_S,
     leaseS: LEASE_S,
     cancelS: CANCEL_S,
--- a/src/simulation/rules.ts
+++ b/src/simulation/rules.ts
@@ -33,6 +33,8 @@
   /** Starts of tasks that had started before. */
   startedAgain = 0;
   private readonly begun = new Set<string>();
+  /** Tasks that ended because their machine was taken or returned. */
+  killedByEnd = 0;
   /** Tasks that ended because their worker's lease ran out. */
   killedByLease = 0;
 
--- a/src/simulation/workers.ts
+++ b/src/simulation/workers.ts
@@ -64,6 +64,7 @@
   /** The machine is gone, with all that was on it. */
   kill(): void {
     this.alive = false;
+    for (const task of this.tasks.values()) if (task.phase === 'running') this.rules.killedByEnd++;
     this.dropTasks();
   }
 
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -4,6 +4,7 @@
 import { neverRuns } from '../src/frontdoor/admission.js';
 import { byRelease, withinGuarantee, type Waiting } from '../src/placement/order.js';
 import { planRentals, type Demand } from '../src/placement/rent.js';
+import { spareRoom } from '../src/placement/spare.js';
 import { allowsPlace, allowsZone, slots, teamRoom, type TeamLimit } from '../src/placement/rules.js';
 import type { JobSpec } from '../src/state/records.js';
 import { jobSpec } from './fixtures.js';
@@ -225,7 +226,7 @@
     ],
   ];
   for (const [name, demands, there, refused, plan] of cases) {
-    const plans = planRentals(demands, there, { types: [SMALL, LARGE], refused });
+    const { plans } = planRentals(demands, there, { types: [SMALL, LARGE], refused });
     assert.deepEqual(
       plans.map((p) => `${p.offer.type}/${p.offer.spot ? 'spot' : 'ordinary'}*${p.count}`),
       plan,
@@ -233,3 +234,28 @@
     );
   }
 });
+
+test('room kept ready: what is expected while a machine boots, for classes that must start sooner', () => {
+  const service = (tasks: number, acceptedMs: number, cohort = 'live') => ({
+    spec: jobSpec({ kind: 'service', cohort, tasks }),
+    acceptedMs,
+  });
+  const now = 1_000_000;
+  const objectives = [{ cohort: 'live', withinS: 3 }];
+  const cases: [arrivals: ReturnType<typeof service>[], withinS: number, count: number | undefined][] = [
+    [[], 3, undefined],
+    [[service(8, 0, 'other')], 3, undefined],
+    // At least for one average job; what came long ago only counts for the average.
+    [[service(4, 0), service(8, 0)], 3, 6],
+    // 30 tasks in the last 3 minutes, a machine takes 15 s to boot and 8 s more: 30 * 23 / 180 * 1.5.
+    [[service(5, 0), service(30, now - 1000), service(1, 0), service(1, 0), service(1, 0)], 3, 8],
+    // A first wave does not come again: three average jobs at the most.
+    [Array.from({ length: 60 }, () => service(4, now - 1000)), 3, 12],
+    // Time enough to boot a machine.
+    [[service(4, 0)], 60, undefined],
+  ];
+  for (const [arrivals, withinS, count] of cases) {
+    const wanted = objectives.map((each) => ({ ...each, withinS }));
+    assert.equal(spareRoom(wanted, arrivals, [SMALL], now)[0]?.count, count);
+  }
+});
--- a/test/simulation.test.ts
+++ b/test/simulation.test.ts
@@ -336,3 +336,18 @@
   const starved = day.rules.broken.filter((line) => line.includes('largest'));
   assert.deepEqual(starved, []);
 });
+
+test('a leader that lost its authority returns no machine: another leads, and what runs goes on', async () => {
+  for (const seed of [11, 12]) {
+    const day = new SimDay(seed);
+    load(day);
+    ['c0', 'c1', 'c2'].forEach((member, i) => {
+      day.at(50 + i * 40, () => day.state.refused.add(member));
+      day.at(75 + i * 40, () => day.state.refused.delete(member));
+    });
+    await day.clock.runUntil(180_000);
+    assert.deepEqual(day.rules.broken, []);
+    assert.equal(day.rules.killedByEnd, 0);
+    assert.equal(day.rules.killedByLease, 0);
+  }
+});
