--- a/src/constants.ts
+++ b/src/constants.ts
@@ -233,6 +233,14 @@
 export const UNDATED_TURN_MS = 120_000;
 /** ms: a job of which no task runs after waiting this long counts as guaranteed: the largest must begin in time. */
 export const STARVED_MS = 100_000;
+/** count: spot machines lost in an hour of use, as expected before any use was seen. */
+export const SPOT_LOSSES_EXPECTED = 2;
+/** hours: of use as much as which that expectation weighs. */
+export const SPOT_EXPECTED_HOURS = 0.25;
+/** count: of losses an hour of use above which what has a deadline shuns spot machines; its last task decides. */
+export const SPOT_LOSSES_BORNE = 4;
+/** ms: between two writes of the losses seen. */
+export const SPOT_WRITE_MS = 30_000;
 /** ms: over which the arrivals of a class are counted when room is kept ready for it. */
 export const SPARE_WINDOW_MS = 180_000;
 /** ratio: of the tasks expected while a machine boots for which room is kept ready; jobs do not come evenly. */
--- a/src/leadership/leader.ts
+++ b/src/leadership/leader.ts
@@ -17,6 +17,7 @@
   PASS_SPACING_MS,
   RELAY_FRESH_MS,
   SAVE_LEEWAY_S,
+  SPOT_WRITE_MS,
   STARVED_MS,
   UNHEARD_ANSWERS,
 } from '../constants.js';
@@ -30,11 +31,12 @@
 import { byRelease, withinGuarantee } from '../placement/order.js';
 import { Placer } from '../placement/placer.js';
 import { Renter } from '../placement/renter.js';
+import { SpotLosses } from '../placement/spot-losses.js';
 import type { TeamLimit } from '../placement/rules.js';
 import type { Settings } from '../settings.js';
 import type { Change } from '../state/client.js';
 import type { Mirror } from '../state/mirror.js';
-import { CATALOG_KEY, KEPT, decodeKept, isJobKey, isKeptKey } from '../state/records.js';
+import { CATALOG_KEY, KEPT, LOSSES_KEY, decodeKept, isJobKey, isKeptKey } from '../state/records.js';
 import type { Writer } from '../state/writer.js';
 import { formatJson, type WireInt } from '../wire/json.js';
 import type { Term } from './election.js';
@@ -84,6 +86,8 @@
   private readonly health: Health;
   private readonly placer: Placer;
   private readonly renter: Renter;
+  private readonly losses: SpotLosses;
+  private lossesWrittenMs: number;
   private readonly ledger: Ledger;
   private readonly cloud: Cloud;
   private readonly limits: Map<string, TeamLimit>;
@@ -110,6 +114,7 @@
     super(deps.log, deps.onFailure);
     const { settings, clock } = deps;
     this.startedMs = clock.steadyMs();
+    this.lossesWrittenMs = this.startedMs;
     this.limits = new Map(settings.teams.map((team) => [team.name, team]));
     this.ledger = new Ledger(settings.leaseS, (uid) => this.store.jobs.get(uid), {
       exited: (attempt, cause) => this.onExited(attempt, cause),
@@ -159,6 +164,7 @@
       stop: (attempt, leewayS) => this.wantStop(attempt, leewayS),
       log: deps.log,
     });
+    this.losses = new SpotLosses(deps.mirror.get(LOSSES_KEY)?.value, this.startedMs);
     this.renter = new Renter({
       ledger: this.ledger,
       health: this.health,
@@ -167,6 +173,7 @@
       types: () => this.types,
       capacityOf: (type) => this.capacityOf(type),
       useSpot: settings.operator.useSpot,
+      losses: this.losses,
       startObjectives: settings.startObjectives,
       arrivals: () => [...this.store.jobs.values()].filter((job) => job.isService && job.isOpen),
       wallMs: () => clock.wallMs(),
@@ -589,6 +596,7 @@
     if (node.returning || !this.deps.term.authority.holds(this.now())) return;
     node.returning = true;
     this.log.info({ node: node.name, reason }, 'returning machine');
+    if (node.spot && reason !== 'idle' && node.reportedMs > -Infinity) this.losses.lose();
     this.cloud.send({ kind: 'giveBack', names: [node.name] });
   }
 
@@ -637,6 +645,7 @@
     const waiting = this.placer.place(open, now);
     for (const job of open) this.store.store(job);
     this.records.flush(now);
+    this.countLosses(now);
     this.renter.rent(waiting, now);
     this.placer.preempt(open, waiting, within, now);
     this.returnIdle(now);
@@ -653,6 +662,16 @@
     this.schedulePass(Math.min(this.passDueMs, now + Math.min(PASS_EVERY_MS, groupsMs)));
   }
 
+  private countLosses(now: number): void {
+    let used = 0;
+    for (const node of this.ledger.nodes.values()) if (node.spot && node.current) used++;
+    this.losses.used(used, now);
+    if (now - this.lossesWrittenMs < SPOT_WRITE_MS) return;
+    this.lossesWrittenMs = now;
+    const stamp = this.deps.mirror.get(LOSSES_KEY)?.stamp ?? 0;
+    void this.store.write([{ key: LOSSES_KEY, stamp }], [{ key: LOSSES_KEY, value: this.losses.record() }]);
+  }
+
   private checkNodes(now: number): void {
     for (const node of this.ledger.nodes.values()) {
       if (now > node.leaseEndMs && node.leaseEndMs !== -Infinity) {
@@ -714,11 +733,14 @@
     if (this.health.isFaulty(node) && node.attempts.size === 0) return this.giveBack(node, 'faulty');
     const leftS = (node.takenMs - now) / 1000;
     if (leftS === Infinity) return;
+    if (node.attempts.size === 0) return this.giveBack(node, 'notice');
     for (const attempt of node.attempts.values()) {
       const spec = attempt.job?.spec;
       if (!spec || attempt.state === 'exited') continue;
       const saves = spec.saveEveryS > 0 && leftS < spec.saveS + this.deps.settings.reportS + 2;
-      if (attempt.job!.isService || saves) this.wantStop(attempt, SAVE_LEEWAY_S);
+      // What can't end in time is lost anyway: the sooner it begins anew elsewhere, the better.
+      const hopeless = spec.saveEveryS === 0 && this.placer.remainingS(attempt, now) > leftS;
+      if (attempt.job!.isService || saves || hopeless) this.wantStop(attempt, SAVE_LEEWAY_S);
     }
   }
 
--- a/src/pipeline/job.ts
+++ b/src/pipeline/job.ts
@@ -56,6 +56,8 @@
   inherited: boolean;
   /** Steady ms since when a task of it waits for room; NaN while none does. */
   waitingSinceMs = NaN;
+  /** Whether spot machines are taken back too often for its deadline: ordinary ones are preferred. */
+  shunsSpot = false;
   /** Steady ms since when it waits with no task on a machine; Infinity while one is. */
   starvingSinceMs = Infinity;
   notBeforeMs = 0;
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -5,6 +5,8 @@
 export interface Choice {
   spec: JobSpec;
   zones: ReadonlyMap<string, number>;
+  /** Whether a loss would make the job late. */
+  shunsSpot: boolean;
   /** Machines on which a task of the job failed. */
   avoid: ReadonlySet<string>;
 }
@@ -17,7 +19,7 @@
 
 /**
  * The machines with room for a task, best first: spot machines for what may use them, so that ordinary room stays free
- * for the rest; then where the task starts soonest; then the fullest, so that others become idle and are returned. A
+ * for the rest, unless a loss would make it late; then where the task starts soonest; then the fullest, so that others become idle and are returned. A
  * machine that got one task of the job is the fullest for the next, so one look serves all of them.
  */
 export function rankRooms(
@@ -25,12 +27,12 @@
   rooms: Iterable<Room>,
   fetchS: (node: Node, spec: JobSpec) => number,
 ): Room[] {
-  const { spec, zones, avoid } = choice;
+  const { spec, zones, shunsSpot, avoid } = choice;
   const ranked: { room: Room; score: number }[] = [];
   for (const room of rooms) {
     const { node, free } = room;
     if (!fits(spec, free) || !allowsPlace(spec, node) || !allowsZone(spec, zones, node.zone)) continue;
-    const wrongKind = spec.spot && !node.spot ? 1 : 0;
+    const wrongKind = spec.spot && node.spot === shunsSpot ? 1 : 0;
     const failed = avoid.has(node.name) ? 1 : 0;
     const score = failed * 1e6 + wrongKind * 1e4 + fetchS(node, spec) * 10 + (free.cpus - spec.cpus);
     ranked.push({ room, score });
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -79,7 +79,7 @@
   private fill(job: Job, rooms: Room[], most: number, now: number): number {
     let task = job.nextPending();
     if (task < 0) return 0;
-    const choice = { spec: job.spec, zones: job.zones, avoid: job.failedOn };
+    const choice = { spec: job.spec, zones: job.zones, shunsSpot: job.shunsSpot, avoid: job.failedOn };
     let started = 0;
     for (const { node, free } of rankRooms(choice, rooms, (n) => this.fetchS(n, job))) {
       while (fits(job.spec, free) && allowsZone(job.spec, job.zones, node.zone)) {
--- a/src/placement/rent.ts
+++ b/src/placement/rent.ts
@@ -13,6 +13,8 @@
   zones: ReadonlyMap<string, number>;
   /** Whether ordinary machines may be rented for it; spot ones may be if it may use them. */
   ordinary: boolean;
+  /** Whether a spot machine taken back would make it late. */
+  shunsSpot: boolean;
   /** Seconds for which it has waited for room. */
   waitedS: number;
   /** Seconds to the deadline; Infinity: none. */
@@ -96,6 +98,7 @@
 
 /** Whether room that is there later still serves: a machine on its way always, a busy one if the deadline allows. */
 function inTime(demand: Demand, room: Coming): boolean {
+  if (demand.shunsSpot && room.spot && !room.busy) return false;
   if (!room.busy) return true;
   if (demand.spec.kind === 'service' || demand.waitedS > PATIENCE_S) return false;
   return room.readyS + demand.expectedS <= demand.leftS;
@@ -125,7 +128,9 @@
         const offer = { type: type.name, zone, spot };
         if (!spot && !demand.ordinary) continue;
         if (!usable(demand, offer, zones) || market.refused(offer)) continue;
-        const price = (spot ? type.spotPrice : type.price) / Math.min(room, count);
+        // What shuns spot machines takes them only where there are no others.
+        const each = !spot ? type.price : demand.shunsSpot ? type.price * 2 : type.spotPrice;
+        const price = each / Math.min(room, count);
         const score = price * (1 + late);
         if (!best || score < best.score) best = { offer, type, score };
       }
--- a/src/placement/renter.ts
+++ b/src/placement/renter.ts
@@ -1,6 +1,6 @@
 import type { Rental } from '../cloud/cloud.js';
 import { offerKey, type MachineType, type Offer } from '../cloud/codec.js';
-import { REFUSED_MS, RENT_MAX, RENT_SPACING_MS, START_EXTRA_S } from '../constants.js';
+import { REFUSED_MS, RENT_MAX, RENT_SPACING_MS, SPOT_LOSSES_BORNE, START_EXTRA_S } from '../constants.js';
 import type { Health } from '../fleet/health.js';
 import type { Ledger, Node, Resources } from '../fleet/ledger.js';
 import type { Job } from '../pipeline/job.js';
@@ -8,6 +8,7 @@
 import { planRentals, type Coming, type Demand } from './rent.js';
 import { addTo } from './preempt.js';
 import { slots } from './rules.js';
+import type { SpotLosses } from './spot-losses.js';
 import { spareRoom, type Arrival, type StartObjective } from './spare.js';
 
 export interface RenterDeps {
@@ -19,6 +20,7 @@
   types: () => ReadonlyMap<string, MachineType>;
   capacityOf: (type: string) => Resources;
   useSpot: boolean;
+  losses: SpotLosses;
   startObjectives: StartObjective[];
   /** Live jobs, for reckoning spare room. */
   arrivals: () => Arrival[];
@@ -70,6 +72,7 @@
           count,
           zones: job.zones,
           ordinary: job.mayRentOrdinary,
+          shunsSpot: job.shunsSpot,
           waitedS: (now - job.waitingSinceMs) / 1000,
           leftS,
         });
@@ -84,6 +87,7 @@
       count,
       zones: new Map(),
       ordinary: true,
+      shunsSpot: false,
       waitedS: 0,
       leftS: Infinity,
     }));
@@ -125,7 +129,10 @@
   private considerSpot(job: Job, now: number): void {
     if (!job.isOpen) return;
     job.release();
+    job.shunsSpot = job.spec.spot && this.lossCosts(job);
     if (!job.prefersSpot) return;
+    // It fails as well when losses must be expected that would make the job late.
+    if (job.shunsSpot) return job.failSpot();
     const offers = [...this.deps.types().values()]
       .filter((type) => slots(job.spec, type) > 0)
       .flatMap((type) => type.zones.map((zone) => ({ type: type.name, zone, spot: true })));
@@ -134,6 +141,11 @@
     if (!available) job.failSpot();
   }
 
+  /** Whether spot machines are lost so often that a job with a deadline, of which all tasks must end, had better not. */
+  private lossCosts(job: Job): boolean {
+    return this.deps.placer.leftS(job) < Infinity && this.deps.losses.perHour() > SPOT_LOSSES_BORNE;
+  }
+
   private isRefused(offer: Offer, now: number): boolean {
     if (offer.spot && !this.deps.useSpot) return true;
     return (this.refusedUntil.get(offerKey(offer)) ?? -Infinity) > now;
--- a/src/simulation/state-service.ts
+++ b/src/simulation/state-service.ts
@@ -25,6 +25,9 @@
   private readonly watchers = new Set<() => void>();
   /** Callers that get 503; '*': everybody. */
   readonly refused = new Set<string>();
+  /** Requests, and puts and deletes, by the second in which they came. */
+  readonly requests: number[] = [];
+  readonly writes: number[] = [];
 
   constructor(private readonly clock: SimClock) {
     const tick = (): void => {
@@ -42,6 +45,8 @@
   }
 
   async handle(from: string, method: string, target: string, body: string | undefined) {
+    const second = Math.floor(this.clock.steadyMs() / 1000);
+    this.requests[second] = (this.requests[second] ?? 0) + 1;
     const url = new URL(target, 'http://state');
     const query = url.searchParams;
     const refused = (): boolean => this.refused.has('*') || this.refused.has(from);
@@ -115,6 +120,8 @@
     apply?: { put?: string; drop?: string; v?: unknown; hold?: number }[];
   }): HttpResponse {
     const operations = txn.apply ?? [];
+    const second = Math.floor(this.clock.steadyMs() / 1000);
+    this.writes[second] = (this.writes[second] ?? 0) + operations.length;
     if (operations.some((o) => o.hold !== undefined && !this.leases.has(o.hold)))
       return json(400, { error: 'no such lease' });
     const failed = (txn.if ?? [])
--- a/src/state/records.ts
+++ b/src/state/records.ts
@@ -7,6 +7,7 @@
 export const LEADER_KEY = 'ph/leader';
 export const TERM_KEY = 'ph/term';
 export const CATALOG_KEY = 'ph/catalog';
+export const LOSSES_KEY = 'ph/losses';
 const JOB_PREFIX = 'ph/j/';
 const DONE_PREFIX = 'ph/d/';
 
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -4,7 +4,10 @@
 import { neverRuns } from '../src/frontdoor/admission.js';
 import { byRelease, withinGuarantee, type Waiting } from '../src/placement/order.js';
 import { planRentals, type Demand } from '../src/placement/rent.js';
+import { rankRooms } from '../src/placement/choose.js';
 import { spareRoom } from '../src/placement/spare.js';
+import { SpotLosses } from '../src/placement/spot-losses.js';
+import { Ledger } from '../src/fleet/ledger.js';
 import { allowsPlace, allowsZone, slots, teamRoom, type TeamLimit } from '../src/placement/rules.js';
 import type { JobSpec } from '../src/state/records.js';
 import { jobSpec } from './fixtures.js';
@@ -167,6 +170,7 @@
     count,
     zones: new Map(),
     ordinary: true,
+    shunsSpot: false,
     waitedS: 0,
     leftS: Infinity,
     ...more,
@@ -259,3 +263,34 @@
     assert.equal(spareRoom(wanted, arrivals, [SMALL], now)[0]?.count, count);
   }
 });
+
+test('spot losses: expected at first, then as seen, and handed on to the next leader', () => {
+  const hour = 3_600_000;
+  const losses = new SpotLosses(undefined, 0);
+  assert.equal(losses.perHour(), 2);
+  losses.used(100, hour / 100);
+  for (let i = 0; i < 7; i++) losses.lose();
+  assert.equal(losses.perHour(), 6);
+  const next = new SpotLosses(losses.record(), 5 * hour);
+  assert.equal(next.perHour(), 6);
+  next.used(100, 5 * hour + hour / 10);
+  assert.ok(next.perHour() < 1);
+  assert.equal(new SpotLosses('nonsense', 0).perHour(), 2);
+});
+
+test('rooms in order: what shuns spot machines takes ordinary ones first, the rest the other way', () => {
+  const ledger = new Ledger(10, () => undefined, { exited: () => undefined, released: () => undefined });
+  const room = (name: string, spot: boolean) => {
+    const capacity = { cpus: 4, accelerators: 0, memGb: 16 };
+    const node = ledger.addNode({ name, address: '', type: 'small', zone: 'a', spot, capacity }, 0);
+    return { node, free: ledger.free(node) };
+  };
+  const rooms = [room('spot', true), room('ordinary', false)];
+  for (const [shunsSpot, first] of [
+    [true, 'ordinary'],
+    [false, 'spot'],
+  ] as const) {
+    const choice = { spec: jobSpec({ spot: true }), zones: new Map(), shunsSpot, avoid: new Set<string>() };
+    assert.equal(rankRooms(choice, rooms, () => 0)[0]!.node.name, first);
+  }
+});
--- /dev/null
+++ b/test/relay.test.ts
@@ -0,0 +1,99 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { pino } from 'pino';
+import { RELAY_FRESH_MS, RELAY_GIVE_UP_MS } from '../src/constants.js';
+import type { HttpResponse } from '../src/http/message.js';
+import type { PeerMessage } from '../src/leadership/peers.js';
+import { Relay } from '../src/leadership/relay.js';
+import { SimClock } from '../src/simulation/clock.js';
+
+function setUp() {
+  const clock = new SimClock();
+  const world = {
+    leader: 'c1' as string | undefined,
+    refusing: undefined as string | undefined,
+    deputy: false,
+  };
+  const sent: { to: string; id: number }[] = [];
+  let hear: (member: string, message: PeerMessage) => void = () => undefined;
+  const relay = new Relay({
+    clock,
+    log: pino({ level: 'silent' }),
+    channel: {
+      send: (to, message) => {
+        if (message.kind === 'relay') sent.push({ to, id: message.id });
+      },
+      refuses: () => false,
+      onMessage: (listener) => (hear = listener),
+    },
+    leader: () => world.leader,
+    refusingLeader: () => world.refusing,
+    elsewhere: (_body, respond) => {
+      if (world.deputy) respond({ status: 200, body: 'deputy' });
+      return world.deputy;
+    },
+  });
+  const answers: HttpResponse[] = [];
+  relay.send({ kind: 'report', body: '{}', respond: (response) => answers.push(response) });
+  const answer = (id: number, body: string): void => hear('c1', { kind: 'relayed', id, status: 200, body });
+  return { clock, world, sent, answers, answer };
+}
+
+test('a relayed report: at most one answer, never one that the leader no longer counts on', async () => {
+  type Set = ReturnType<typeof setUp>;
+  const cases: [
+    name: string,
+    acts: [atMs: number, act: (set: Set) => void][],
+    answers: [number, string][],
+  ][] = [
+    ['answered in time', [[100, (s) => s.answer(s.sent[0]!.id, 'a')]], [[200, 'a']]],
+    [
+      'answered twice',
+      [
+        [100, (s) => s.answer(s.sent[0]!.id, 'a')],
+        [200, (s) => s.answer(s.sent[0]!.id, 'b')],
+      ],
+      [[200, 'a']],
+    ],
+    ['answered too late', [[RELAY_FRESH_MS + 1, (s) => s.answer(s.sent[0]!.id, 'a')]], [[503, '{}']]],
+    ['never answered', [[RELAY_GIVE_UP_MS + 500, () => undefined]], [[503, '{}']]],
+    [
+      'another leads: the former one’s answer is of no use',
+      [
+        [500, (s) => (s.world.leader = 'c2')],
+        [900, (s) => s.answer(s.sent[0]!.id, 'former')],
+        [1000, (s) => s.answer(s.sent[1]!.id, 'new')],
+      ],
+      [[200, 'new']],
+    ],
+    [
+      'no leader, then a deputy',
+      [
+        [300, (s) => Object.assign(s.world, { leader: undefined, deputy: true })],
+        [RELAY_FRESH_MS + 500, () => undefined],
+      ],
+      [[200, 'deputy']],
+    ],
+    [
+      'the leader refuses us',
+      [
+        [300, (s) => (s.world.refusing = 'c1')],
+        [800, () => undefined],
+      ],
+      [[421, '{"steward":"c1"}']],
+    ],
+  ];
+  for (const [name, acts, expected] of cases) {
+    const set = setUp();
+    for (const [atMs, act] of acts) {
+      await set.clock.runUntil(atMs);
+      act(set);
+    }
+    await set.clock.runUntil(RELAY_GIVE_UP_MS + 2_000);
+    assert.deepEqual(
+      set.answers.map(({ status, body }): [number, string] => [status, body]),
+      expected,
+      name,
+    );
+  }
+});
