--- a/src/constants.ts
+++ b/src/constants.ts
@@ -211,6 +211,8 @@
 export const PREEMPT_AFTER_MS = 4_000;
 /** ratio: a task is expected to need this many times its owner's guess when slack is judged. */
 export const GUESS_MARGIN = 1.6;
+/** jobs: as many of a class as which GUESS_MARGIN weighs against what the class's jobs were seen to need. */
+export const GUESS_WEIGHT = 3;
 /** ratio: a task is expected to need this many times what its job's tasks took so far. */
 export const RAN_MARGIN = 1.25;
 /** ratio of its run time that a task which outran its owner's guess is expected to need still. */
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -80,6 +80,7 @@
       clock,
       log,
       running: (uid) => this.counts[uid] ?? 0,
+      isServed: () => client.isServed,
       isHealthy: () => this.election.isHealthy,
       report: (report, body, respond) => this.takeReport(report, body, respond),
     });
--- a/src/frontdoor/frontdoor.ts
+++ b/src/frontdoor/frontdoor.ts
@@ -45,6 +45,8 @@
   log: Logger;
   /** Running tasks of a job, for display. */
   running: (uid: string) => number;
+  /** Whether the state service serves this controller. */
+  isServed: () => boolean;
   /** Whether this controller can do something for users. */
   isHealthy: () => boolean;
   /** Hands a report to who deals with it; otherwise the controller that its worker should turn to, if one is known. */
@@ -118,7 +120,8 @@
     }
     const key = jobKey(spec.uid);
     if (mirror.get(key)) return this.known(spec.uid);
-    if (!mirror.isLoaded || writer.isFull) return RETRY;
+    // What can't be taken now is answered at once; its user is told when to come back.
+    if (!mirror.isLoaded || writer.isFull || !this.deps.isServed()) return RETRY;
     const types = this.types();
     if (!types) return (await this.isKnown(key)) ? this.known(spec.uid) : RETRY;
     const reason = neverRuns(spec, types, this.teams);
@@ -170,6 +173,7 @@
       if (!found) return problem(404, 'no such job');
       const { record, row } = found;
       if (record.phase !== 'open') return reply(200, encodeState(uid, this.phase(uid, record)));
+      if (!this.deps.isServed()) return RETRY;
       // The conditional write decides between a cancellation and a finish; the answer follows it.
       const value = encodeJob({ ...record, phase: 'cancelled' });
       const result = await writer.commit(
--- a/src/leadership/job-store.ts
+++ b/src/leadership/job-store.ts
@@ -1,6 +1,7 @@
 import type { Logger } from 'pino';
 import { STORE_TIMEOUT_MS } from '../constants.js';
 import { Job } from '../pipeline/job.js';
+import { RunTimes } from '../pipeline/run-times.js';
 import type { Objective } from '../pipeline/job-pipeline.js';
 import type { Condition, Operation } from '../state/client.js';
 import type { Mirror } from '../state/mirror.js';
@@ -44,6 +45,7 @@
 /** The jobs of the leader's term, and their values in the state service. */
 export class JobStore {
   readonly jobs = new Map<string, Job>();
+  private readonly runTimes = new RunTimes();
 
   constructor(private readonly deps: JobStoreDeps) {
     for (const row of deps.mirror.startingWith(JOBS)) this.take(row.key, row.value, row.stamp);
@@ -63,7 +65,7 @@
     if (!job) {
       // Of a cancelled job with its description still there, tasks may be left on machines.
       if (!record.spec || record.phase === 'done') return;
-      job = new Job(uid, record, stamp, this.deps.objectives);
+      job = new Job(uid, record, stamp, this.deps.objectives, this.runTimes);
       for (let chunk = 1; chunk < chunkCount(record.tasks); chunk++) {
         const row = this.deps.mirror.get(doneKey(uid, chunk));
         if (!row) continue;
--- a/src/pipeline/job.ts
+++ b/src/pipeline/job.ts
@@ -2,7 +2,6 @@
   DONE_CHUNK_TASKS,
   ERROR_BACKOFF_MAX_MS,
   ERROR_BACKOFF_MS,
-  GUESS_MARGIN,
   HOPE_SHARE,
   RAN_MARGIN,
 } from '../constants.js';
@@ -15,6 +14,7 @@
   type Phase,
   type Rank,
 } from '../state/records.js';
+import { RunTimes } from './run-times.js';
 import { TaskSet } from '../state/task-set.js';
 import type { WireInt } from '../wire/json.js';
 import { ANY, SPOT, pipelineOf, type Objective } from './job-pipeline.js';
@@ -74,6 +74,7 @@
     record: JobRecord,
     stamp: WireInt,
     private readonly objectives: Objective[],
+    private readonly runTimes: RunTimes = new RunTimes(),
   ) {
     this.uid = uid;
     this.spec = record.spec!;
@@ -168,14 +169,16 @@
   ran(seconds: number): void {
     this.ranS += seconds;
     this.ranTasks++;
+    this.runTimes.ran(this.spec.cohort, this.uid, this.ranS / this.ranTasks, this.spec.guessS);
   }
 
   /**
    * Seconds that a task of it is expected to run, on the safe side: what its tasks took so far, or else its owner's
-   * guess, which is often wrong by half.
+   * guess, which is often wrong by half, and what the class's jobs took against theirs.
    */
   get expectedS(): number {
-    return this.ranTasks > 0 ? (this.ranS / this.ranTasks) * RAN_MARGIN : this.spec.guessS * GUESS_MARGIN;
+    if (this.ranTasks > 0) return (this.ranS / this.ranTasks) * RAN_MARGIN;
+    return this.spec.guessS * this.runTimes.margin(this.spec.cohort);
   }
 
   /** A task failed on `node`: retried elsewhere, later and later. */
--- a/src/simulation/day.ts
+++ b/src/simulation/day.ts
@@ -76,6 +76,17 @@
   };
 }
 
+const DEFAULTS: Omit<SimJob, 'uid'> = {
+  team: 'blue',
+  kind: 'array',
+  tasks: 4,
+  cpus: 2,
+  spot: false,
+  scatter: false,
+  runS: 20,
+  dueS: null,
+};
+
 /** A whole deployment in one process, on simulated time: three controllers and stand-ins for everything else. */
 export class SimDay {
   readonly clock = new SimClock();
@@ -178,14 +189,7 @@
   submit(fields: Partial<SimJob>, cancelS?: number): SimJob {
     const job: SimJob = {
       uid: `job-${String(++this.jobs).padStart(6, '0')}`,
-      team: 'blue',
-      kind: 'array',
-      tasks: 4,
-      cpus: 2,
-      spot: false,
-      scatter: false,
-      runS: 20,
-      dueS: null,
+      ...DEFAULTS,
       ...fields,
     };
     this.rules.add(job);
@@ -222,7 +226,29 @@
   }
 
   private async user(job: SimJob, cancelS: number | undefined): Promise<void> {
-    const wire = {
+    const wire = this.wireOf(job);
+    for (;;) {
+      const response = await this.ask('POST', '/submissions', wire);
+      if (response) this.rules.submitted(job.uid, response.status);
+      if (response && response.status < 300) break;
+      await this.pause(1000);
+    }
+    const cancelAtMs = cancelS === undefined ? Infinity : this.clock.steadyMs() + cancelS * 1000;
+    for (;;) {
+      const cancel = this.clock.steadyMs() >= cancelAtMs;
+      const path = `/submissions/${job.uid}`;
+      const response = cancel ? await this.ask('POST', `${path}/abort`) : await this.ask('GET', path);
+      const phase =
+        response?.status === 200 ? (JSON.parse(response.body) as { phase: string }).phase : undefined;
+      if (response) this.rules.told(job.uid, response.status, phase);
+      await this.pause(cancel && !phase ? 1000 : 3000);
+    }
+  }
+
+  /** A submission as it stands on the wire. */
+  wireOf(fields: Partial<SimJob>): Record<string, unknown> {
+    const job = { ...DEFAULTS, uid: '', ...fields };
+    return {
       uid: job.uid,
       cohort: 'batch',
       crew: job.team,
@@ -244,21 +270,5 @@
       pinningS: 0,
       dueS: job.dueS,
     };
-    for (;;) {
-      const response = await this.ask('POST', '/submissions', wire);
-      if (response) this.rules.submitted(job.uid, response.status);
-      if (response && response.status < 300) break;
-      await this.pause(1000);
-    }
-    const cancelAtMs = cancelS === undefined ? Infinity : this.clock.steadyMs() + cancelS * 1000;
-    for (;;) {
-      const cancel = this.clock.steadyMs() >= cancelAtMs;
-      const path = `/submissions/${job.uid}`;
-      const response = cancel ? await this.ask('POST', `${path}/abort`) : await this.ask('GET', path);
-      const phase =
-        response?.status === 200 ? (JSON.parse(response.body) as { phase: string }).phase : undefined;
-      if (response) this.rules.told(job.uid, response.status, phase);
-      await this.pause(cancel && !phase ? 1000 : 3000);
-    }
   }
 }
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -4,6 +4,7 @@
 import { neverRuns } from '../src/frontdoor/admission.js';
 import { byRelease, withinGuarantee, type Waiting } from '../src/placement/order.js';
 import { planRentals, type Demand } from '../src/placement/rent.js';
+import { RunTimes } from '../src/pipeline/run-times.js';
 import { rankRooms } from '../src/placement/choose.js';
 import { spareRoom } from '../src/placement/spare.js';
 import { SpotLosses } from '../src/placement/spot-losses.js';
@@ -294,3 +295,16 @@
     assert.equal(rankRooms(choice, rooms, () => 0)[0]!.node.name, first);
   }
 });
+
+test('run times against guesses: on the safe side at first, then as the class was seen', () => {
+  const times = new RunTimes();
+  assert.equal(times.margin('batch').toFixed(3), '1.600');
+  for (let i = 0; i < 60; i++) times.ran('batch', `job-${i}`, 20, 40);
+  const margin = times.margin('batch');
+  assert.ok(margin > 0.625 && margin < 0.75, `${margin}`);
+  // The same job counts once, with its latest mean; other classes and jobs without a guess don't count.
+  for (let i = 0; i < 60; i++) times.ran('batch', 'job-59', 20, 40);
+  times.ran('batch', 'job-60', 20, 0);
+  assert.equal(times.margin('batch').toFixed(3), margin.toFixed(3));
+  assert.equal(times.margin('other').toFixed(3), '1.600');
+});
--- a/test/simulation.test.ts
+++ b/test/simulation.test.ts
@@ -404,3 +404,28 @@
   assert.ok(looks < passes * machines, `${looks} looks`);
   assert.ok(looks < day.rules.started * machines, `${looks} looks for ${day.rules.started} starts`);
 });
+
+test('in an outage a submission is answered at once, not held', async () => {
+  const day = new SimDay(14);
+  load(day);
+  const tookMs: number[] = [];
+  const statuses: (number | undefined)[] = [];
+  day.at(50, () => day.state.refused.add('*'));
+  day.at(54, async () => {
+    for (const member of day.members) {
+      const fromMs = day.clock.steadyMs();
+      const response = await day.askOne(
+        member,
+        'POST',
+        '/submissions',
+        day.wireOf({ uid: `job-90000${tookMs.length}` }),
+      );
+      tookMs.push(day.clock.steadyMs() - fromMs);
+      statuses.push(response?.status);
+    }
+  });
+  day.at(60, () => day.state.endOutage());
+  await day.clock.runUntil(62_000);
+  assert.deepEqual(statuses, [503, 503, 503]);
+  assert.ok(Math.max(...tookMs) < 100, `${tookMs.join(' ')} ms`);
+});
