--- a/src/leadership/deputy.ts
+++ b/src/leadership/deputy.ts
@@ -55,6 +55,9 @@
   private registering = false;
   private batches = 0;
   private heardSinceMs = Infinity;
+  /** Stamp of the leader's key seen last, and since when. */
+  private seenStamp: WireInt | undefined;
+  private seenMs = -Infinity;
 
   constructor(private readonly deps: DeputyDeps) {
     super(deps.log);
@@ -73,7 +76,13 @@
     const leader = this.leader();
     // One that refuses our connections is there: its workers reach it, and need no deputy.
     if (!leader || leader.member === this.deps.member || this.deps.refuses(leader.member)) return false;
-    return this.deps.clock.steadyMs() - this.deps.heardMs(leader.member) > DEPUTY_AFTER_MS;
+    if (leader.stamp !== this.seenStamp) {
+      this.seenStamp = leader.stamp;
+      this.seenMs = this.deps.clock.steadyMs();
+    }
+    // A leader that just began, or a process that just did, has had no time to be heard.
+    const sinceMs = Math.max(this.deps.heardMs(leader.member), this.seenMs);
+    return this.deps.clock.steadyMs() - sinceMs > DEPUTY_AFTER_MS;
   }
 
   protected receive(message: Message): void {
