--- a/src/constants.ts
+++ b/src/constants.ts
@@ -110,7 +110,12 @@
 export const DEAF_SHARE = 0.6;
 /** ms: a term lasts at least this long before its leader judges so. */
 export const DEAF_AFTER_MS = 10_000;
-/** ms: a term lasts at least this long before it is handed over, and so does the pause after it. */
+/**
+ * ms: a term lasts at least this long before it is handed over. Right after a crash the jobs have only just been taken
+ * up again, and a second change would hold them up once more; relays make a far leader bearable.
+ */
+export const HANDOVER_TERM_MS = 20_000;
+/** ms: for which another must have been heard of to be handed over to, and the pause of who made way. */
 export const HANDOVER_AFTER_MS = 5_000;
 /** ms: without a word of the leader before a controller keeps the leases of machines that turn to it. */
 export const DEPUTY_AFTER_MS = 2_000;
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -10,6 +10,7 @@
   HANDOVER_MACHINES,
   HANDOVER_PAUSE_MS,
   HANDOVER_SHARE,
+  HANDOVER_TERM_MS,
   LEADER_TOUCH_MS,
   LEADER_TTL_MS,
   PEER_BEAT_MS,
@@ -262,7 +263,7 @@
   private maybeHandOver(): void {
     const now = this.clock.steadyMs();
     // Seldom, and only to one that says it could lead: a peer may be heard that the state service does not serve.
-    if (now - this.leading!.sinceMs < HANDOVER_AFTER_MS || now < this.nextHandOverMs || this.client.failing)
+    if (now - this.leading!.sinceMs < HANDOVER_TERM_MS || now < this.nextHandOverMs || this.client.failing)
       return;
     const machines = this.machinesByZone();
     if (!this.isFar(this.self.member, machines)) return;
--- a/src/simulation/day.ts
+++ b/src/simulation/day.ts
@@ -22,6 +22,8 @@
   machines: number;
   /** Times as many CPUs per team as in a small day. */
   scale: number;
+  /** Zones that have machines. */
+  machineZones?: string[];
 }
 
 const SMALL: DayOptions = { controllers: 3, machines: 24, scale: 1 };
@@ -119,7 +121,7 @@
     const controllers = this.members.map((member) => ({ member, address: `${member}:80` }));
     const timing = { reportS: REPORT_S, leaseS: LEASE_S, fetchS: 1 };
     this.members.forEach((member) => this.network.setZone(member, settingsOf(member, options).zone));
-    this.cloud = new SimCloud(this.clock, types, ZONES, options.machines, (place) => {
+    this.cloud = new SimCloud(this.clock, types, options.machineZones ?? ZONES, options.machines, (place) => {
       this.network.setZone(place.name, place.zone);
       return new SimWorker(
         place,
--- a/src/simulation/state-service.ts
+++ b/src/simulation/state-service.ts
@@ -37,6 +37,11 @@
     tick();
   }
 
+  /** The value of a key, as the service holds it. */
+  peek(key: string): unknown {
+    return this.rows.get(key)?.v;
+  }
+
   /** An outage ends: every lease has its full time again. */
   endOutage(): void {
     this.refused.clear();
--- a/test/simulation.test.ts
+++ b/test/simulation.test.ts
@@ -429,3 +429,21 @@
   assert.deepEqual(statuses, [503, 503, 503]);
   assert.ok(Math.max(...tookMs) < 100, `${tookMs.join(' ')} ms`);
 });
+
+test('a leader far from the machines is not followed by another right after a crash (inc-6f4e)', async () => {
+  const day = new SimDay(15, { controllers: 3, machines: 24, scale: 1, machineZones: ['west'] });
+  load(day);
+  const term = (): number => (day.state.peek('ph/term') as { term: number }).term;
+  const leader = (): unknown => (day.state.peek('ph/leader') as { member: string } | undefined)?.member;
+  await day.clock.runUntil(60_000);
+  // The only controller among the machines leads by then.
+  assert.equal(leader(), 'c1');
+  const before = term();
+  day.crash('c1', 1_500);
+  await day.clock.runUntil(76_000);
+  assert.notEqual(leader(), 'c1');
+  assert.equal(term(), before + 1);
+  await day.clock.runUntil(120_000);
+  assert.equal(leader(), 'c1');
+  assert.deepEqual(day.rules.broken, []);
+});
