--- a/test/simulation.test.ts
+++ b/test/simulation.test.ts
@@ -432,7 +432,9 @@
 
 test('a leader far from the machines is not followed by another right after a crash (inc-6f4e)', async () => {
   const day = new SimDay(15, { controllers: 3, machines: 24, scale: 1, machineZones: ['west'] });
-  load(day);
+  day.at(2, () => day.submit({ kind: 'service', team: 'red', tasks: 3, scatter: true }));
+  for (let i = 0; i < 10; i++)
+    day.at(5 + i * 12, () => day.submit({ tasks: 1 + ((i * 3) % 7), runS: 8 + i }));
   const term = (): number => (day.state.peek('ph/term') as { term: number }).term;
   const leader = (): unknown => (day.state.peek('ph/leader') as { member: string } | undefined)?.member;
   await day.clock.runUntil(60_000);
