--- a/src/controller.ts
+++ b/src/controller.ts
@@ -94,8 +94,9 @@
         return leader !== undefined && peers.refuses(leader) ? leader : undefined;
       },
       elsewhere: (body, respond) => {
-        const report = this.deputy.wants() ? readReport(body) : undefined;
-        if (report) this.deputy.send({ kind: 'report', report, respond });
+        const taker = this.leader ?? (this.deputy.wants() ? this.deputy : undefined);
+        const report = taker && readReport(body);
+        if (report) taker.send({ kind: 'report', report, respond, heldMs: 0 });
         return report !== undefined;
       },
     });
@@ -164,8 +165,10 @@
       return true;
     }
     const leader = this.election.knowsLeader ? this.election.leader() : undefined;
-    if (leader === undefined || leader === this.world.settings.member) return undefined;
-    if (this.world.peers.refuses(leader)) return leader;
+    if (leader === undefined && !this.election.isElecting) return undefined;
+    if (leader !== undefined && this.world.peers.refuses(leader)) return leader;
+    // While there is no leader the relay keeps the report for a moment: a worker sent on loses a second each time, and
+    // its lease runs. One that leads but is not ready yet is waited for likewise.
     this.relay.send({ kind: 'report', body, respond });
     return true;
   }
--- a/src/leadership/deputy.ts
+++ b/src/leadership/deputy.ts
@@ -36,7 +36,7 @@
 }
 
 type Message =
-  | ({ kind: 'report' } & Asking)
+  | ({ kind: 'report'; heldMs?: number } & Asking)
   | ({ kind: 'synced'; freshMs: number } & Asking)
   | { kind: 'registered'; batch: Asking[]; term: number; done: boolean }
   | { kind: 'tick' };
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -136,6 +136,11 @@
     return this.isHeard() && ![...this.able].some((member) => this.hears(member));
   }
 
+  /** Whether there is surely no leader at this moment, so that one can be expected soon. */
+  get isElecting(): boolean {
+    return this.mirror.isLoaded && this.client.isServed && this.leader() === undefined;
+  }
+
   /** Whether the leader that this controller knows of may be named to workers: not on stale knowledge. */
   get knowsLeader(): boolean {
     const leader = this.leader();
