Pauses and quick restarts: numbers of relays, promises and cloud calls; users' writes first

Found by reading for pauses at any instruction and processes back at once: - a relay counted its reports from 1, so the leader's late answer to a report of its former process could be passed on to another machine, and its starts be carried out there; - a promise to a former process of the leader could count for its successor; - calls to the cloud that waited for the rate were made after a pause without authority. Users' writes are now refused at once, and go before the leader's. Two faults of the stand-in worker mended: a deleted one executed late commands.

--- a/src/cloud/cloud.ts
+++ b/src/cloud/cloud.ts
@@ -67,6 +67,8 @@
     rps: number,
     private readonly clock: Clock,
     private readonly events: (event: CloudEvent) => void,
+    /** Asked right before each call: after a pause another may lead, and what was decided before it is void. */
+    private readonly mayCall: () => boolean,
     log: Logger,
     onFailure: (error: unknown) => void,
   ) {
@@ -97,7 +99,7 @@
 
   private work(): void {
     this.timer?.();
-    while (this.budget.waitMs(1) === 0) {
+    while (this.mayCall() && this.budget.waitMs(1) === 0) {
       const next = this.next();
       if (!next) break;
       this.budget.spend(1);
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -130,6 +130,8 @@
 export const RELAY_GIVE_UP_MS = 3_000;
 /** ms: between two looks for reports that the leader does not answer. */
 export const RELAY_LOOK_MS = 200;
+/** count: numbers at which a relay process may begin to count its reports; two never meet. */
+export const RELAY_NUMBERS = 2 ** 52;
 /** ms: between two looks of a deputy whether the leader is back. */
 export const DEPUTY_TICK_MS = 500;
 /** ms: a direct start that was lost, of a job that is over, is fenced by a new term after this. */
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -88,6 +88,7 @@
       clock,
       channel: peers,
       log,
+      random: world.random,
       leader: () => this.election.heardLeader(),
       refusingLeader: () => {
         const leader = this.election.knowsLeader ? this.election.leader() : undefined;
--- a/src/frontdoor/frontdoor.ts
+++ b/src/frontdoor/frontdoor.ts
@@ -130,7 +130,7 @@
       return (await this.isKnown(key)) ? this.known(spec.uid) : problem(422, reason);
     }
     const record = newRecord(spec, clock.wallMs());
-    const result = await writer.commit(
+    const result = await writer.commitForUser(
       [{ key, stamp: 0 }],
       [{ key, value: encodeJob(record) }],
       SUBMIT_ANSWER_MS,
@@ -176,7 +176,7 @@
       if (!this.deps.isServed()) return RETRY;
       // The conditional write decides between a cancellation and a finish; the answer follows it.
       const value = encodeJob({ ...record, phase: 'cancelled' });
-      const result = await writer.commit(
+      const result = await writer.commitForUser(
         [{ key: row.key, stamp: row.stamp }],
         [{ key: row.key, value }],
         SUBMIT_ANSWER_MS,
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -410,10 +410,12 @@
         const until = this.clock.steadyMs() + GRANT_MS * (1 + CLOCK_DRIFT) + GRANT_MARGIN_MS;
         this.promisedUntilMs = Math.max(this.promisedUntilMs, until);
       }
-      this.channel.send(member, { kind: 'promise', id: message.id, given });
+      this.channel.send(member, { kind: 'promise', id: message.id, term: message.term, given });
     } else if (message.kind === 'promise' && this.asked?.id === message.id && message.given) {
+      // A late one to a former process of ours, which led an earlier term, may bear the same number.
+      if (!this.leading || message.term !== this.leading.term.number) return;
       this.asked.missing.delete(member);
-      if (this.asked.missing.size > 0 || !this.leading) return;
+      if (this.asked.missing.size > 0) return;
       this.leading.term.authority.granted(this.asked.atMs, GRANT_MS, this.clock.steadyMs());
       this.asked = undefined;
     }
--- a/src/leadership/leader.ts
+++ b/src/leadership/leader.ts
@@ -126,6 +126,7 @@
       settings.cloud.rps,
       clock,
       (event) => this.send({ kind: 'cloud', event }),
+      () => deps.term.authority.holds(this.now()),
       deps.log,
       deps.onFailure,
     );
--- a/src/leadership/peers.ts
+++ b/src/leadership/peers.ts
@@ -12,7 +12,7 @@
   | { kind: 'counts'; running: Record<string, number> }
   /** Leader to peer: promise not to stand. */
   | { kind: 'ask'; id: number; term: number }
-  | { kind: 'promise'; id: number; given: boolean }
+  | { kind: 'promise'; id: number; term: number; given: boolean }
   /**
    * Whether the sender could lead: the state service serves it, and it made way for nobody a moment ago. And whose
    * workers' reports it would relay: the leader, if it hears it.
--- a/src/leadership/relay.ts
+++ b/src/leadership/relay.ts
@@ -1,7 +1,7 @@
 import type { Logger } from 'pino';
 import { Actor } from '../actor.js';
 import type { Clock } from '../clock.js';
-import { RELAY_FRESH_MS, RELAY_GIVE_UP_MS, RELAY_LOOK_MS } from '../constants.js';
+import { RELAY_FRESH_MS, RELAY_GIVE_UP_MS, RELAY_LOOK_MS, RELAY_NUMBERS } from '../constants.js';
 import { encodeRedirect } from '../fleet/codec.js';
 import type { Respond } from '../http/message.js';
 import { formatJson } from '../wire/json.js';
@@ -11,6 +11,8 @@
   clock: Clock;
   channel: PeerChannel;
   log: Logger;
+  /** From 0 to 1. */
+  random: () => number;
   /** The leader, if it is heard of. */
   leader: () => string | undefined;
   /** The leader, if its host is there but refuses our connections: workers can reach it, we can't. */
@@ -43,11 +45,16 @@
  */
 export class Relay extends Actor<Message> {
   private readonly waiting = new Map<number, Waiting>();
-  private seq = 0;
+  /**
+   * Numbers begin anywhere, so that no process uses those of a former one that was back within a moment: the leader's
+   * answer to a report of that one would be passed on to another machine, and its starts be carried out there.
+   */
+  private seq: number;
   private looking = false;
 
   constructor(private readonly deps: RelayDeps) {
     super(deps.log);
+    this.seq = Math.floor(deps.random() * RELAY_NUMBERS);
     deps.channel.onMessage((_member, message: PeerMessage) => {
       if (message.kind === 'relayed')
         this.send({ kind: 'relayed', id: message.id, status: message.status, body: message.body });
--- a/src/simulation/clock.ts
+++ b/src/simulation/clock.ts
@@ -80,7 +80,11 @@
 export class ProcessClock implements Clock {
   private alive = true;
 
-  constructor(private readonly base: Clock) {}
+  constructor(
+    private readonly base: Clock,
+    /** Runs what is due once the process does not stand still. */
+    private readonly awake: (run: () => void) => void = (run) => run(),
+  ) {}
 
   kill(): void {
     this.alive = false;
@@ -99,8 +103,15 @@
   }
 
   after(ms: number, run: () => void): () => void {
-    return this.base.after(ms, () => {
-      if (this.alive) run();
-    });
+    let cancelled = false;
+    const cancel = this.base.after(ms, () =>
+      this.awake(() => {
+        if (this.alive && !cancelled) run();
+      }),
+    );
+    return () => {
+      cancelled = true;
+      cancel();
+    };
   }
 }
--- a/src/simulation/day.ts
+++ b/src/simulation/day.ts
@@ -146,7 +146,7 @@
   }
 
   start(member: string): void {
-    const clock = new ProcessClock(this.clock);
+    const clock = new ProcessClock(this.clock, (run) => this.network.on(member, run));
     this.processes.set(member, clock);
     const alive = (): boolean => clock.isAlive;
     const caller = this.network.caller(member, alive);
@@ -183,6 +183,16 @@
     this.clock.after(backMs, () => this.start(member));
   }
 
+  /**
+   * The controller stands still for a while, its clocks run on. What it decided in the last moments before is said only
+   * afterwards: a pause may fall between a check and what rests on it.
+   */
+  freeze(member: string, forMs: number): void {
+    this.network.holdBack(member);
+    this.clock.after(40, () => this.network.halt(member));
+    this.clock.after(forMs, () => this.network.resume(member));
+  }
+
   at(second: number, run: () => void): void {
     this.clock.after(second * 1000 - this.clock.steadyMs(), run);
   }
--- a/src/simulation/network.ts
+++ b/src/simulation/network.ts
@@ -26,6 +26,10 @@
   /** Ms by which copies of a host's requests come late; undefined: none do. */
   private readonly copies = new Map<string, () => number>();
   private readonly addresses = new Map<string, string>();
+  /** Hosts that stand still, with what is to happen there once they go on. */
+  private readonly halted = new Map<string, (() => void)[]>();
+  /** Hosts of which nothing gets out any more, with what they sent. */
+  private readonly mute = new Map<string, (() => void)[]>();
 
   constructor(
     private readonly clock: SimClock,
@@ -55,6 +59,31 @@
     this.copies.set(host, lateMs);
   }
 
+  /** What the host sends stays in its buffers from now on. */
+  holdBack(host: string): void {
+    this.mute.set(host, []);
+  }
+
+  /** The host stands still: its clock runs on, and what comes waits. */
+  halt(host: string): void {
+    this.halted.set(host, []);
+  }
+
+  /** It goes on: all that waited happens at once, and what it had sent gets out. */
+  resume(host: string): void {
+    const waiting = [this.halted.get(host) ?? [], this.mute.get(host) ?? []].flat();
+    this.halted.delete(host);
+    this.mute.delete(host);
+    for (const run of waiting) this.clock.after(1 + this.random() * 3, run);
+  }
+
+  /** Runs something on a host, once that does not stand still. */
+  on(host: string, run: () => void): void {
+    const waiting = this.halted.get(host);
+    if (waiting) waiting.push(run);
+    else run();
+  }
+
   setZone(host: string, zone: string): void {
     this.zones.set(host, zone);
   }
@@ -83,8 +112,9 @@
   deliver(from: string, to: string, run: () => void): void {
     if (this.deaf.has(to)) return;
     const cut = this.cutBetween(from, to);
-    if (cut) cut.held.push(run);
-    else this.clock.after(1 + this.random() * 3, run);
+    const held = cut?.held ?? this.mute.get(from);
+    if (held) held.push(run);
+    else this.clock.after(1 + this.random() * 3, () => this.on(to, run));
   }
 
   caller(from: string, isAlive: () => boolean): HttpCaller {
@@ -98,7 +128,9 @@
             ended = true;
             run();
           };
-          this.clock.after(timeoutMs, () => end(() => reject(new CallError('unclear', 'timed out'))));
+          this.clock.after(timeoutMs, () =>
+            this.on(from, () => end(() => reject(new CallError('unclear', 'timed out')))),
+          );
           const lateMs = this.copies.get(from);
           if (lateMs) this.clock.after(lateMs(), () => void this.hosts.get(to)?.(from, method, target, body));
           this.deliver(from, to, () => {
--- a/src/simulation/workers.ts
+++ b/src/simulation/workers.ts
@@ -170,6 +170,8 @@
     if (!this.alive) return undefined;
     // A hanging machine takes up what reached it when it goes on.
     while (this.hanging) await new Promise<void>((resolve) => this.clock.after(100, resolve));
+    // It may have been deleted meanwhile.
+    if (!this.alive) return undefined;
     if (target === '/show') return { status: 200, body: JSON.stringify(this.report()) };
     const { baton, tenure, orders } = JSON.parse(body ?? '') as {
       baton: number;
@@ -205,6 +207,10 @@
 
   private begin(key: string, task: Task): void {
     if (this.tasks.get(key) !== task || task.phase !== 'fetching') return;
+    if (this.hanging) {
+      this.clock.after(200, () => this.begin(key, task));
+      return;
+    }
     task.phase = 'running';
     this.rules.start(task.uid, task.index, {
       node: this.place.name,
--- a/src/state/writer.ts
+++ b/src/state/writer.ts
@@ -18,6 +18,8 @@
   operations: Operation[];
   bytes: number;
   giveUpMs: number;
+  /** A user waits for it: it goes before the leader's, and is given up as soon as the service refuses. */
+  ofUser: boolean;
   resolve: (outcome: WriteOutcome) => void;
 }
 
@@ -41,6 +43,20 @@
   }
 
   commit(conditions: Condition[], operations: Operation[], timeoutMs: number): Promise<WriteOutcome> {
+    return this.enqueue(conditions, operations, timeoutMs, false);
+  }
+
+  /** For a user, who is told at once when the service does not take it, and not held back by what the leader writes. */
+  commitForUser(conditions: Condition[], operations: Operation[], timeoutMs: number): Promise<WriteOutcome> {
+    return this.enqueue(conditions, operations, timeoutMs, true);
+  }
+
+  private enqueue(
+    conditions: Condition[],
+    operations: Operation[],
+    timeoutMs: number,
+    ofUser: boolean,
+  ): Promise<WriteOutcome> {
     return new Promise((resolve) => {
       if (this.isFull) {
         resolve({ outcome: 'refused' });
@@ -48,7 +64,9 @@
       }
       const bytes = formatJson([conditions, operations]).length;
       const giveUpMs = this.clock.steadyMs() + timeoutMs;
-      this.queue.push({ conditions, operations, bytes, giveUpMs, resolve });
+      const entry = { conditions, operations, bytes, giveUpMs, ofUser, resolve };
+      const at = ofUser ? this.queue.findIndex((e) => !e.ofUser) : -1;
+      this.queue.splice(at < 0 ? this.queue.length : at, 0, entry);
       if (!this.running) void this.loop();
     });
   }
@@ -124,10 +142,17 @@
           return;
         }
         this.queue.unshift(...batch);
+        // In an outage a user's request is never held back: its user is told when to come back.
+        if (result.status !== 429) this.refuseUsers();
         await sleep(this.clock, STATE_RETRY_MS);
         return;
       case 'unclear':
         for (const entry of batch) entry.resolve({ outcome: 'unclear' });
     }
   }
+
+  private refuseUsers(): void {
+    for (const entry of this.queue) if (entry.ofUser) entry.resolve({ outcome: 'refused' });
+    this.queue = this.queue.filter((entry) => !entry.ofUser);
+  }
 }
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -7,7 +7,7 @@
 import { Relay } from '../src/leadership/relay.js';
 import { SimClock } from '../src/simulation/clock.js';
 
-function setUp() {
+function setUp(random: () => number = () => 0) {
   const clock = new SimClock();
   const world = {
     leader: 'c1' as string | undefined,
@@ -19,6 +19,7 @@
   const relay = new Relay({
     clock,
     log: pino({ level: 'silent' }),
+    random,
     channel: {
       send: (to, message) => {
         if (message.kind === 'relay') sent.push({ to, id: message.id });
@@ -97,3 +98,19 @@
     );
   }
 });
+
+test('an answer to a former process of the relay is passed on to nobody', async () => {
+  const former = setUp(() => 0.25);
+  const restarted = setUp(() => 0.75);
+  await former.clock.runUntil(10);
+  await restarted.clock.runUntil(10);
+  restarted.answer(former.sent[0]!.id, 'meant for another machine');
+  await restarted.clock.runUntil(100);
+  assert.deepEqual(restarted.answers, []);
+  restarted.answer(restarted.sent[0]!.id, 'meant for this one');
+  await restarted.clock.runUntil(200);
+  assert.deepEqual(
+    restarted.answers.map(({ body }) => body),
+    ['meant for this one'],
+  );
+});
