--- a/src/constants.ts
+++ b/src/constants.ts
@@ -96,6 +96,8 @@
 export const GRANT_ASK_MS = 350;
 /** ms: on top of a promise before the promiser stands. */
 export const GRANT_MARGIN_MS = 200;
+/** ms: without an answer of the state service to a probe before a promise is given; it takes under 10 ms as a rule. */
+export const PROBE_MS = 300;
 /** ms: longest random pause before standing, so that two candidates seldom collide. */
 export const STAND_JITTER_MS = 150;
 /** ms: by which a controller far from the machines stands later. */
@@ -156,6 +158,18 @@
 export const SILENT_REPORTS = 2.5;
 /** report intervals without a report after which a machine counts as lost and is replaced. */
 export const LOST_REPORTS = 3;
+/** ratio of the report interval that may lie between two reports (protocol: plus or minus a quarter). */
+export const REPORT_GAP = 1.25;
+/** report intervals without a report after which one is overdue: longer than any gap, shorter than a machine is lost. */
+export const OVERDUE_REPORTS = 1.5;
+/** ratio of a controller's machines that are overdue together above which rather the controller is out of reach. */
+export const SUSPECT_SHARE = 0.05;
+/** ms: a worker without an answer turns to another controller after this (protocol). */
+export const WORKER_GIVE_UP_MS = 4_000;
+/** ms: before a worker that was not served tries the next controller (protocol). */
+export const WORKER_RETRY_MS = 1_000;
+/** ms: for a redirect on the way, and the way itself. */
+export const REPORT_MARGIN_MS = 1_000;
 /** answers in a row that show no effect before a machine counts as not hearing us. */
 export const UNHEARD_ANSWERS = 2;
 /** ms: for which a worker that does not show our token is answered; beyond it our answers surely do not reach it. */
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -97,7 +97,7 @@
       elsewhere: (body, respond) => {
         const taker = this.leader ?? (this.deputy.wants() ? this.deputy : undefined);
         const report = taker && readReport(body);
-        if (report) taker.send({ kind: 'report', report, respond, heldMs: 0 });
+        if (report) taker.send({ kind: 'report', report, respond, via: settings.member, heldMs: 0 });
         return report !== undefined;
       },
     });
@@ -156,9 +156,10 @@
   private takeReport(report: Report, body: string, respond: Respond): true | string | undefined {
     const { zone } = this.world.settings;
     const near = report.zone === zone ? [] : this.election.takers(report.zone);
-    if (near.length > 0) return near[spread(report.node) % near.length];
+    // Another each time: the one named before may be out of the worker's reach.
+    if (near.length > 0) return near[(spread(report.node) + Number(report.tick)) % near.length];
     if (this.leader) {
-      this.leader.send({ kind: 'report', report, respond, heldMs: 0 });
+      this.leader.send({ kind: 'report', report, respond, via: this.world.settings.member, heldMs: 0 });
       return true;
     }
     if (this.deputy.wants()) {
@@ -178,7 +179,7 @@
     const respond: Respond = (response) =>
       this.world.peers.send(member, { kind: 'relayed', id, status: response.status, body: response.body });
     const report = this.leader && readReport(body);
-    if (report) this.leader!.send({ kind: 'report', report, respond, heldMs: RELAY_FRESH_MS });
+    if (report) this.leader!.send({ kind: 'report', report, respond, via: member, heldMs: RELAY_FRESH_MS });
     else respond({ status: 503, body: '{}' });
   }
 
--- a/src/fleet/health.ts
+++ b/src/fleet/health.ts
@@ -5,10 +5,16 @@
   FAULTY_AFTER_JOBS,
   HANDOVER_MACHINES,
   LOST_REPORTS,
+  OVERDUE_REPORTS,
+  REPORT_GAP,
+  REPORT_MARGIN_MS,
   SILENT_REPORTS,
   STUCK_BOOT_MIN_MS,
   STUCK_BOOT_RATIO,
+  SUSPECT_SHARE,
   UNHEARD_ANSWERS,
+  WORKER_GIVE_UP_MS,
+  WORKER_RETRY_MS,
 } from '../constants.js';
 import type { Job } from '../pipeline/job.js';
 import type { Ledger, Node } from './ledger.js';
@@ -28,7 +34,9 @@
 
 /** What the leader makes of its machines' silence and failures. It decides what is used, never what is safe. */
 export class Health {
-  private manyLost = false;
+  private manyOverdue = false;
+  /** Controllers whose machines fell silent together, and '' for the machines not heard of in this term. */
+  private readonly suspects = new Set<string>();
   private readonly silentZones = new Map<string, boolean>();
 
   constructor(private readonly deps: HealthDeps) {}
@@ -58,9 +66,22 @@
     if (this.deps.isKept(node)) return false;
     // Its reports come, but what we say does not reach it.
     if (node.unheard >= UNHEARD_ANSWERS) return true;
+    return this.silentMs(node, now) > this.patienceMs(node);
+  }
+
+  private silentMs(node: Node, now: number): number {
     // A report that does not show our token counts once: answers may not reach its worker.
-    const since = Math.max(node.reportedMs, node.greetedMs, this.deps.startedMs);
-    return now - since > LOST_REPORTS * this.deps.reportS * 1000;
+    return now - Math.max(node.reportedMs, node.greetedMs, this.deps.startedMs);
+  }
+
+  /** For how long a machine may be silent before it counts as lost. */
+  private patienceMs(node: Node): number {
+    const gapMs = this.deps.reportS * REPORT_GAP * 1000;
+    // Rather its controller is cut off or has ended: its worker gives that up and turns to another.
+    if (this.suspects.has(node.via)) return gapMs + WORKER_GIVE_UP_MS + WORKER_RETRY_MS + REPORT_MARGIN_MS;
+    // Where nearly all the others have shown up in a new term, nobody waits for the few that are gone.
+    if (node.via === '') return gapMs + WORKER_RETRY_MS + REPORT_MARGIN_MS;
+    return LOST_REPORTS * this.deps.reportS * 1000;
   }
 
   /** Never reported in this term, and by the records never held a task. */
@@ -87,27 +108,43 @@
       // In a zone whose controllers are not heard of either, a deputy keeps the leases.
       if (this.zoneSilent(node.zone)) continue;
       all++;
-      if (this.isLost(node, now)) silent++;
+      if (this.silentMs(node, now) > LOST_REPORTS * this.deps.reportS * 1000) silent++;
     }
     return all >= HANDOVER_MACHINES && silent > all * DEAF_SHARE;
   }
 
-  /** Called at the start of a pass: what holds for all machines is found out once. */
+  /**
+   * Called at the start of a pass: what holds for many machines is found out once. They are counted from when their
+   * reports are overdue, long before the first of them counts as lost: once it is returned, it is not counted any more.
+   */
   look(now: number): void {
     this.silentZones.clear();
-    let lost = 0;
+    const overdueMs = this.deps.reportS * OVERDUE_REPORTS * 1000;
+    const groups = new Map<string, { all: number; overdue: number }>();
+    let overdue = 0;
     let all = 0;
     for (const node of this.deps.ledger.nodes.values()) {
-      if (this.isBooting(node)) continue;
+      if (this.isBooting(node) || this.deps.isKept(node)) continue;
+      let group = groups.get(node.via);
+      if (!group) groups.set(node.via, (group = { all: 0, overdue: 0 }));
+      group.all++;
       all++;
-      if (this.isLost(node, now)) lost++;
+      if (this.silentMs(node, now) <= overdueMs) continue;
+      group.overdue++;
+      overdue++;
+    }
+    this.manyOverdue = overdue > Math.max(2, all / 4);
+    this.suspects.clear();
+    for (const [via, group] of groups) {
+      // Those not heard of in this term are what is left of all.
+      const of = via === '' ? all : group.all;
+      if (group.overdue > Math.max(2, of * SUSPECT_SHARE)) this.suspects.add(via);
     }
-    this.manyLost = lost > Math.max(2, all / 4);
   }
 
   /** Many silent machines at once are more likely cut off from us than dead. */
   fewLost(): boolean {
-    return !this.manyLost;
+    return !this.manyOverdue;
   }
 
   /** Whether a zone may be cut off: none of its controllers is heard of. */
--- a/src/fleet/ledger.ts
+++ b/src/fleet/ledger.ts
@@ -32,6 +32,8 @@
 export interface Node {
   readonly name: string;
   address: string;
+  /** The controller through which its last report in this term came; '': none did. */
+  via: string;
   readonly type: string;
   readonly zone: string;
   readonly spot: boolean;
@@ -100,6 +102,7 @@
   ): Node {
     const node: Node = {
       ...fields,
+      via: '',
       used: { ...NOTHING },
       attempts: new Map(),
       session: 0,
--- a/src/leadership/deputy.ts
+++ b/src/leadership/deputy.ts
@@ -6,9 +6,9 @@
 import type { Respond } from '../http/message.js';
 import type { Mirror } from '../state/mirror.js';
 import {
-  decodeGroup,
   decodeJob,
   encodeKept,
+  groupHolds,
   GROUPS,
   jobKey,
   KEPT,
@@ -36,7 +36,7 @@
 }
 
 type Message =
-  | ({ kind: 'report'; heldMs?: number } & Asking)
+  | ({ kind: 'report'; via?: string; heldMs?: number } & Asking)
   | ({ kind: 'synced'; freshMs: number } & Asking)
   | { kind: 'registered'; batch: Asking[]; term: number; done: boolean }
   | { kind: 'tick' };
@@ -128,8 +128,7 @@
   }
 
   private isRecorded(node: string): boolean {
-    for (const row of this.deps.mirror.startingWith(GROUPS))
-      if (decodeGroup(row.value)?.members.has(node)) return true;
+    for (const row of this.deps.mirror.startingWith(GROUPS)) if (groupHolds(row.value, node)) return true;
     return false;
   }
 
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -14,6 +14,7 @@
   LEADER_TOUCH_MS,
   LEADER_TTL_MS,
   PEER_BEAT_MS,
+  PROBE_MS,
   STAND_JITTER_MS,
   STAND_FAR_MS,
   STATE_CALL_MS,
@@ -72,6 +73,8 @@
   private readonly relays = new Map<string, string | null>();
   private promisedUntilMs: number;
   private askId = 0;
+  /** Steady ms since when the state service is asked whether it serves us; undefined: it is not. */
+  private probingMs: number | undefined;
   private readonly heardMs = new Map<string, number>();
   /** Since when each other controller is heard of without a gap. */
   private readonly upSinceMs = new Map<string, number>();
@@ -426,7 +429,17 @@
     if (this.state !== 'following') return false;
     const known = this.mirror.get(TERM_KEY)?.value;
     if (isObject(known) && Number(known.term) > term) return false;
-    const quietMs = this.clock.steadyMs() - this.client.lastServedMs;
-    return this.client.failing || quietMs > STATE_FAILING_MS;
+    if (this.client.failing) return true;
+    const now = this.clock.steadyMs();
+    if (now - this.client.lastServedMs <= STATE_FAILING_MS) return false;
+    // Its watch may only have had nothing to tell: it asks, and promises if that gets no answer either.
+    if (this.probingMs === undefined) {
+      this.probingMs = now;
+      const end = (): void => {
+        this.probingMs = undefined;
+      };
+      this.mirror.sync().then(end, end);
+    }
+    return now - this.probingMs > PROBE_MS;
   }
 }
--- a/src/leadership/leader.ts
+++ b/src/leadership/leader.ts
@@ -57,8 +57,8 @@
 }
 
 type Message =
-  /** `heldMs`: for this long the answer may be under way through another controller. */
-  | { kind: 'report'; report: Report; respond: Respond; heldMs: number }
+  /** `via`: the controller at which its worker is; `heldMs`: for this long the answer may be under way through it. */
+  | { kind: 'report'; report: Report; respond: Respond; via: string; heldMs: number }
   | { kind: 'changed'; change: Change }
   | { kind: 'cloud'; event: CloudEvent }
   | {
@@ -369,7 +369,7 @@
    * What a report is worth (fleet/lease.ts): only one that shows our token proves that an answer of ours was received,
    * so only from such a report on is anything learned of a machine.
    */
-  private onReport({ report, respond, heldMs }: Extract<Message, { kind: 'report' }>): void {
+  private onReport({ report, respond, via, heldMs }: Extract<Message, { kind: 'report' }>): void {
     const now = this.now();
     const { term } = this.deps;
     let node = this.ledger.nodes.get(report.node);
@@ -377,11 +377,13 @@
       gone: this.goneMs.has(report.node),
       current: node?.current ?? false,
     });
+    if (node && worth !== 'nothing') node.via = via;
     if (worth === 'greet') return this.greet(node, report, respond, heldMs);
     if (worth === 'nothing') return respond(NOT_ANSWERED);
     if (!node) {
       const { node: name, address, type, zone, spot } = report;
       node = this.ledger.addNode({ name, address, type, zone, spot, capacity: this.capacityOf(type) }, now);
+      node.via = via;
     }
     const first = node.reportedMs === -Infinity;
     if (!this.ledger.take(node, report, true, now)) {
--- a/src/state/records.ts
+++ b/src/state/records.ts
@@ -127,6 +127,11 @@
   return { type: String(value.t), zone: String(value.z), spot: value.s === 1, members };
 }
 
+/** Whether a group holds a machine; without decoding it, as it is asked for each report in a cut. */
+export function groupHolds(value: unknown, node: string): boolean {
+  return isObject(value) && isObject(value.m) && Object.hasOwn(value.m, node);
+}
+
 export interface KeptRecord {
   term: number;
   nodes: string[];
--- a/test/ledger.test.ts
+++ b/test/ledger.test.ts
@@ -146,3 +146,57 @@
     }
   });
 });
+
+test('a machine is silent for how long before it counts as lost: not while its worker may be on its way to another controller', () => {
+  const reportS = 2;
+  // Machines by the controller at which their workers were, how many of them fell silent, and after how many seconds
+  // one of them counts as lost; '': not heard of in this term.
+  const cases: [
+    name: string,
+    groups: Record<string, [all: number, silent: number]>,
+    via: string,
+    lostS: number,
+  ][] = [
+    ['one of many', { a: [40, 1], b: [40, 0] }, 'a', 6],
+    ['those of one controller together', { a: [40, 30], b: [400, 0] }, 'a', 8.5],
+    ['another one of another controller', { a: [40, 30], b: [400, 1] }, 'b', 6],
+    ['the last ones that a new leader waits for', { a: [100, 0], '': [3, 3] }, '', 4.5],
+    ['many that a new leader waits for', { a: [100, 0], '': [20, 20] }, '', 8.5],
+  ];
+  for (const [name, groups, via, lostS] of cases) {
+    const { ledger } = setUp();
+    ledger.nodes.clear();
+    const health = new Health({
+      ledger,
+      reportS,
+      startedMs: 0,
+      typeOf: () => undefined,
+      jobOf: () => undefined,
+      isKept: () => false,
+      zoneSilent: () => false,
+    });
+    const place = {
+      address: '',
+      type: 't',
+      zone: 'z',
+      spot: false,
+      capacity: { cpus: 4, accelerators: 0, memGb: 4 },
+    };
+    for (const [at, [all, silent]] of Object.entries(groups))
+      for (let i = 0; i < all; i++) {
+        const node = ledger.addNode({ name: `${at}-${i}`, ...place }, 0);
+        Object.assign(node, {
+          via: at,
+          recorded: true,
+          reportedMs: at === '' ? -Infinity : i < silent ? 0 : Infinity,
+        });
+      }
+    const node = ledger.nodes.get(`${via}-0`)!;
+    let lost = 0;
+    for (let ms = 0; lost === 0 && ms < 20_000; ms += 100) {
+      health.look(ms);
+      if (health.isLost(node, ms)) lost = ms;
+    }
+    assert.equal(lost / 1000, lostS + 0.1, name);
+  }
+});
