--- a/src/placement/rent.ts
+++ b/src/placement/rent.ts
@@ -19,6 +19,8 @@
   waitedS: number;
   /** Seconds to the deadline; Infinity: none. */
   leftS: number;
+  /** Seconds within which its tasks are to start by the objectives; Infinity: none, or that is over. */
+  startLeftS: number;
 }
 
 /** Room that is not there yet: a machine on its way, or that of a task about to end. */
@@ -101,7 +103,7 @@
   if (demand.shunsSpot && room.spot && !room.busy) return false;
   if (!room.busy) return true;
   if (demand.spec.kind === 'service' || demand.waitedS > PATIENCE_S) return false;
-  return room.readyS + demand.expectedS <= demand.leftS;
+  return room.readyS <= demand.startLeftS && room.readyS + demand.expectedS <= demand.leftS;
 }
 
 function usable(demand: Demand, offer: Offer, zones: ReadonlyMap<string, number>): boolean {
--- a/src/placement/renter.ts
+++ b/src/placement/renter.ts
@@ -75,6 +75,7 @@
           shunsSpot: job.shunsSpot,
           waitedS: (now - job.waitingSinceMs) / 1000,
           leftS,
+          startLeftS: this.startLeftS(job),
         });
     }
     const types = [...this.deps.types().values()];
@@ -90,6 +91,7 @@
       shunsSpot: false,
       waitedS: 0,
       leftS: Infinity,
+      startLeftS: Infinity,
     }));
     const ready = spares.length > 0 ? this.ready(now) : [];
     const result = planRentals(demands, this.coming(now), market, kept, ready);
@@ -105,6 +107,13 @@
     }
   }
 
+  private startLeftS(job: Job): number {
+    const objective = this.deps.startObjectives.find(({ cohort }) => cohort === job.spec.cohort);
+    if (!objective) return Infinity;
+    const leftS = objective.withinS - (this.deps.wallMs() - job.acceptedMs) / 1000;
+    return leftS > 0 ? leftS : Infinity;
+  }
+
   /** Room on ordinary machines that a live service could have at once: free, or of what it may stop. */
   private ready(now: number): Coming[] {
     const ready: Coming[] = [];
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -174,6 +174,7 @@
     shunsSpot: false,
     waitedS: 0,
     leftS: Infinity,
+    startLeftS: Infinity,
     ...more,
   });
   const none = (): boolean => false;
@@ -206,6 +207,14 @@
     ['what is coming is counted', [demand({}, 2)], [coming], none, []],
     ['and the rest is rented', [demand({}, 3)], [coming], none, ['small/ordinary*1']],
     ['a task ends in time', [demand({}, 1, { leftS: 40 })], [ending], none, []],
+    ['a task ends in time for the start', [demand({}, 1, { startLeftS: 12 })], [ending], none, []],
+    [
+      'a task ends too late for the start',
+      [demand({}, 1, { startLeftS: 8 })],
+      [ending],
+      none,
+      ['small/ordinary*1'],
+    ],
     ['a task ends too late', [demand({}, 1, { leftS: 20 })], [ending], none, ['small/ordinary*1']],
     [
       'services do not wait for an end',
