--- a/src/constants.ts
+++ b/src/constants.ts
@@ -262,6 +262,12 @@
 export const SPOT_EXPECTED_HOURS = 0.25;
 /** count: of losses an hour of use above which what has a deadline shuns spot machines; its last task decides. */
 export const SPOT_LOSSES_BORNE = 4;
+/** ms: losses of spot machines within this time of the first count as one wave. */
+export const SPOT_BURST_MS = 10_000;
+/** ratio: to the losses usual in that time, above which those of a wave are not counted. */
+export const SPOT_BURST_FACTOR = 3;
+/** count: of a wave that is counted at the least. */
+export const SPOT_BURST_LEAST = 3;
 /** ms: between two writes of the losses seen. */
 export const SPOT_WRITE_MS = 30_000;
 /** ms: over which the arrivals of a class are counted when room is kept ready for it. */
--- a/src/fleet/health.ts
+++ b/src/fleet/health.ts
@@ -37,6 +37,8 @@
   private manyOverdue = false;
   /** Controllers whose machines fell silent together, and '' for the machines not heard of in this term. */
   private readonly suspects = new Set<string>();
+  /** Steady ms at which each zone was last silent. */
+  private readonly zoneSilentMs = new Map<string, number>();
   private readonly silentZones = new Map<string, boolean>();
 
   constructor(private readonly deps: HealthDeps) {}
@@ -76,11 +78,10 @@
 
   /** For how long a machine may be silent before it counts as lost. */
   private patienceMs(node: Node): number {
-    const gapMs = this.deps.reportS * REPORT_GAP * 1000;
     // Rather its controller is cut off or has ended: its worker gives that up and turns to another.
-    if (this.suspects.has(node.via)) return gapMs + WORKER_GIVE_UP_MS + WORKER_RETRY_MS + REPORT_MARGIN_MS;
+    if (this.suspects.has(node.via)) return this.findingUsMs;
     // Where nearly all the others have shown up in a new term, nobody waits for the few that are gone.
-    if (node.via === '') return gapMs + WORKER_RETRY_MS + REPORT_MARGIN_MS;
+    if (node.via === '') return this.findingUsMs - WORKER_GIVE_UP_MS;
     return LOST_REPORTS * this.deps.reportS * 1000;
   }
 
@@ -129,6 +130,7 @@
       if (!group) groups.set(node.via, (group = { all: 0, overdue: 0 }));
       group.all++;
       all++;
+      if (this.zoneSilent(node.zone)) this.zoneSilentMs.set(node.zone, now);
       if (this.silentMs(node, now) <= overdueMs) continue;
       group.overdue++;
       overdue++;
@@ -147,6 +149,19 @@
     return !this.manyOverdue;
   }
 
+  /**
+   * Whether the machines of a zone may only just be on their way back to us: it was cut off a moment ago. What is back
+   * is worth more than what would have to boot.
+   */
+  isReturning(zone: string, now: number): boolean {
+    return now - (this.zoneSilentMs.get(zone) ?? -Infinity) < this.findingUsMs;
+  }
+
+  /** For how long a worker whose controller is out of reach may be silent until it reports through another one. */
+  private get findingUsMs(): number {
+    return this.deps.reportS * REPORT_GAP * 1000 + WORKER_GIVE_UP_MS + WORKER_RETRY_MS + REPORT_MARGIN_MS;
+  }
+
   /** Whether a zone may be cut off: none of its controllers is heard of. */
   zoneSilent(zone: string): boolean {
     let silent = this.silentZones.get(zone);
--- a/src/leadership/leader.ts
+++ b/src/leadership/leader.ts
@@ -599,7 +599,7 @@
     if (node.returning || !this.deps.term.authority.holds(this.now())) return;
     node.returning = true;
     this.log.info({ node: node.name, reason }, 'returning machine');
-    if (node.spot && reason !== 'idle' && node.reportedMs > -Infinity) this.losses.lose();
+    if (node.spot && reason !== 'idle' && node.reportedMs > -Infinity) this.losses.lose(this.now());
     this.cloud.send({ kind: 'giveBack', names: [node.name] });
   }
 
@@ -769,7 +769,9 @@
       if (this.health.isStuck(node, now)) this.giveBack(node, 'never came up');
       if (this.health.isBooting(node)) continue;
       // In a zone cut off from us, machines go on and turn to the controller there.
-      if (this.health.zoneSilent(node.zone) && now < node.leaseEndMs) continue;
+      if (this.health.zoneSilent(node.zone)) {
+        if (now < node.leaseEndMs) continue;
+      } else if (this.health.isReturning(node.zone, now) && this.health.isLost(node, now)) continue;
       if (this.health.isLost(node, now) && this.health.fewLost()) {
         this.giveBack(node, node.unheard >= UNHEARD_ANSWERS ? 'answers do not reach it' : 'silent');
       } else if (
--- a/src/placement/spot-losses.ts
+++ b/src/placement/spot-losses.ts
@@ -1,4 +1,10 @@
-import { SPOT_EXPECTED_HOURS, SPOT_LOSSES_EXPECTED } from '../constants.js';
+import {
+  SPOT_BURST_FACTOR,
+  SPOT_BURST_LEAST,
+  SPOT_BURST_MS,
+  SPOT_EXPECTED_HOURS,
+  SPOT_LOSSES_EXPECTED,
+} from '../constants.js';
 import { isObject } from '../wire/json.js';
 
 /** How often spot machines are taken back, as seen by this leader and those before it. */
@@ -6,6 +12,10 @@
   private lost = 0;
   private hours = 0;
   private countedMs: number;
+  private inUse = 0;
+  /** Losses that came together, since when. */
+  private burst = 0;
+  private burstMs = -Infinity;
 
   constructor(stored: unknown, nowMs: number) {
     this.countedMs = nowMs;
@@ -18,10 +28,17 @@
   used(machines: number, nowMs: number): void {
     this.hours += (machines * (nowMs - this.countedMs)) / 3_600_000;
     this.countedMs = nowMs;
+    this.inUse = machines;
   }
 
-  lose(): void {
-    this.lost++;
+  /** A wave, or a cut that looks like one, says little of what is to come: of losses together only some count. */
+  lose(nowMs: number): void {
+    if (nowMs - this.burstMs > SPOT_BURST_MS) {
+      this.burstMs = nowMs;
+      this.burst = 0;
+    }
+    const usual = (this.inUse * this.perHour() * SPOT_BURST_MS) / 3_600_000;
+    if (++this.burst <= Math.max(SPOT_BURST_LEAST, usual * SPOT_BURST_FACTOR)) this.lost++;
   }
 
   perHour(): number {
