--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -174,6 +174,7 @@
     shunsSpot: false,
     waitedS: 0,
     leftS: Infinity,
+    startLeftS: Infinity,
     ...more,
   });
   const none = (): boolean => false;
@@ -206,6 +207,14 @@
     ['what is coming is counted', [demand({}, 2)], [coming], none, []],
     ['and the rest is rented', [demand({}, 3)], [coming], none, ['small/ordinary*1']],
     ['a task ends in time', [demand({}, 1, { leftS: 40 })], [ending], none, []],
+    ['a task ends in time for the start', [demand({}, 1, { startLeftS: 12 })], [ending], none, []],
+    [
+      'a task ends too late for the start',
+      [demand({}, 1, { startLeftS: 8 })],
+      [ending],
+      none,
+      ['small/ordinary*1'],
+    ],
     ['a task ends too late', [demand({}, 1, { leftS: 20 })], [ending], none, ['small/ordinary*1']],
     [
       'services do not wait for an end',
@@ -270,13 +279,18 @@
   const losses = new SpotLosses(undefined, 0);
   assert.equal(losses.perHour(), 2);
   losses.used(100, hour / 100);
-  for (let i = 0; i < 7; i++) losses.lose();
+  for (let i = 0; i < 7; i++) losses.lose(i * 20_000);
   assert.equal(losses.perHour(), 6);
   const next = new SpotLosses(losses.record(), 5 * hour);
   assert.equal(next.perHour(), 6);
   next.used(100, 5 * hour + hour / 10);
   assert.ok(next.perHour() < 1);
   assert.equal(new SpotLosses('nonsense', 0).perHour(), 2);
+  // A wave of half the machines counts as a few.
+  const wave = new SpotLosses(undefined, 0);
+  wave.used(100, hour / 100);
+  for (let i = 0; i < 50; i++) wave.lose(hour / 100);
+  assert.ok(wave.perHour() < 4, `${wave.perHour()} an hour`);
 });
 
 test('rooms in order: what shuns spot machines takes ordinary ones first, the rest the other way', () => {
