Sockets sized by the settings: commands to workers bounded, connections that were left give way

At half as many machines again a leader held 853 to 892 sockets with the machines spread over the controllers; with all machines at one of them, its connections for direct commands would not have fitted beside theirs. Those are now a bounded share, of which the longest idle goes first, and the command waits for the next report where none is free. When all accepted connections are taken, one that was left without a word gives way, so that a cut does not lock out users or machines.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -16,6 +16,10 @@
 export const REQUEST_READ_MS = 10_000;
 /** ms: an idle kept-alive connection is closed after this; users poll about every 5 s. */
 export const IDLE_CONNECTION_MS = 120_000;
+/** ms: unused for this long, a connection gives way when all are taken; workers and users come every few seconds. */
+export const LEFT_CONNECTION_MS = 10_000;
+/** share of the sockets for commands straight to workers; beyond it they wait for the next report. */
+export const WORKER_CALL_SHARE = 0.15;
 /** sockets: kept free of users and workers, for our own calls and the peers. */
 export const RESERVED_SOCKETS = 64;
 /** sockets: parallel connections to one outside service; what exceeds it waits. */
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -47,6 +47,12 @@
     this.socket.destroy();
   }
 
+  /** Makes room for another: its pool forgets it at once, not only when the socket tells of its end. */
+  evict(): void {
+    this.onFree(this, false);
+    this.socket.destroy();
+  }
+
   private write(call: Call): void {
     call.sent = true;
     this.socket.write(call.text);
@@ -82,6 +88,39 @@
   }
 }
 
+/** The connections of all pools together, of which there are at most `most`. */
+class Sockets {
+  /** Longest idle first. */
+  private readonly idle = new Set<ClientConnection>();
+  private open = 0;
+
+  constructor(private readonly most: number) {}
+
+  /** Whether one more may be opened; the one that is idle longest goes for it. */
+  take(): boolean {
+    if (this.open >= this.most) {
+      const [oldest] = this.idle;
+      if (!oldest) return false;
+      oldest.evict();
+    }
+    this.open++;
+    return true;
+  }
+
+  idled(connection: ClientConnection): void {
+    this.idle.add(connection);
+  }
+
+  used(connection: ClientConnection): void {
+    this.idle.delete(connection);
+  }
+
+  gone(connection: ClientConnection): void {
+    this.idle.delete(connection);
+    this.open--;
+  }
+}
+
 class Pool {
   private readonly idle: ClientConnection[] = [];
   private readonly all = new Set<ClientConnection>();
@@ -91,6 +130,7 @@
     private readonly address: string,
     private readonly clock: Clock,
     private readonly size: number,
+    private readonly sockets: Sockets,
   ) {}
 
   submit(call: Call): void {
@@ -122,7 +162,12 @@
         continue;
       }
       const connection = this.idle.pop() ?? this.open();
-      if (!connection) return;
+      if (!connection) {
+        // Nobody would tell of a free socket: the caller is told now.
+        if (this.all.size === 0) this.refuseAll();
+        return;
+      }
+      this.sockets.used(connection);
       const call = this.waiting.shift()!;
       const settle = call.reject;
       // A call that timed out leaves its connection in an unknown state; it is closed with it.
@@ -134,14 +179,19 @@
     }
   }
 
+  private refuseAll(): void {
+    for (const call of this.waiting.splice(0)) call.reject(new CallError('unsent', 'no socket free'));
+  }
+
   private open(): ClientConnection | undefined {
-    if (this.all.size >= this.size) return undefined;
+    if (this.all.size >= this.size || !this.sockets.take()) return undefined;
     const connection = new ClientConnection(this.address, (freed, alive) => {
       if (alive) {
         freed.idleSinceMs = this.clock.steadyMs();
         this.idle.push(freed);
+        this.sockets.idled(freed);
       } else {
-        this.all.delete(freed);
+        if (this.all.delete(freed)) this.sockets.gone(freed);
         const at = this.idle.indexOf(freed);
         if (at >= 0) this.idle.splice(at, 1);
       }
@@ -156,11 +206,15 @@
 export class SocketCaller implements HttpCaller {
   private readonly pools = new Map<string, Pool>();
   private cancelSweep = (): void => undefined;
+  private readonly sockets: Sockets;
 
   constructor(
     private readonly clock: Clock,
     private readonly poolSize: number = POOL_SIZE,
+    /** Connections to all addresses together. */
+    most = Infinity,
   ) {
+    this.sockets = new Sockets(most);
     this.sweepLater();
   }
 
@@ -199,7 +253,7 @@
         call.reject(new CallError(call.sent ? 'unclear' : 'unsent', 'timed out')),
       );
       let pool = this.pools.get(address);
-      if (!pool) this.pools.set(address, (pool = new Pool(address, this.clock, this.poolSize)));
+      if (!pool) this.pools.set(address, (pool = new Pool(address, this.clock, this.poolSize, this.sockets)));
       pool.submit(call);
     });
   }
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import type { Logger } from 'pino';
 import type { Clock } from '../clock.js';
-import { IDLE_CONNECTION_MS, MAX_BODY_BYTES, REQUEST_READ_MS } from '../constants.js';
+import { IDLE_CONNECTION_MS, LEFT_CONNECTION_MS, MAX_BODY_BYTES, REQUEST_READ_MS } from '../constants.js';
 import type { Handler, HttpRequest, HttpResponse } from './message.js';
 import { HttpParser, HttpSyntaxError, type RawMessage } from './parser.js';
 
@@ -53,6 +53,8 @@
     private readonly handler: Handler,
     private readonly clock: Clock,
     private readonly log: Logger,
+    /** Called with each answer, so that the connections stand in the order of their last use. */
+    private readonly onUsed: () => void,
   ) {
     this.lastMs = clock.steadyMs();
     socket.setNoDelay(true);
@@ -65,6 +67,19 @@
     socket.on('error', () => socket.destroy());
   }
 
+  /** Whether nothing was asked on it for so long that its client has most likely left without a word. */
+  isLeft(now: number): boolean {
+    return !this.busy && now - this.lastMs > LEFT_CONNECTION_MS;
+  }
+
+  get isBusy(): boolean {
+    return this.busy;
+  }
+
+  close(): void {
+    this.socket.destroy();
+  }
+
   /** Called now and then: closes idle connections and requests that never complete. */
   sweep(now: number): void {
     if (this.busy) return;
@@ -101,6 +116,7 @@
       this.busy = false;
       this.lastMs = this.clock.steadyMs();
       if (this.socket.destroyed) return;
+      this.onUsed();
       const keepAlive = message.keepAlive && response.close !== true;
       this.socket.write(formatResponse(response, keepAlive));
       if (!keepAlive || this.ended) {
@@ -128,12 +144,32 @@
   log: Logger,
 ): Promise<Server> {
   const { host, port } = splitAddress(address);
+  // Longest unused first.
   const connections = new Map<Socket, Connection>();
+  // When all are taken, one that was left goes: hundreds of machines that were cut off leave theirs half open, and
+  // neither they nor users may be locked out by them.
+  const makeRoom = (): boolean => {
+    for (const [socket, connection] of connections) {
+      if (connection.isBusy) continue;
+      if (!connection.isLeft(clock.steadyMs())) return false;
+      connections.delete(socket);
+      connection.close();
+      return true;
+    }
+    return false;
+  };
   const server = createServer({ allowHalfOpen: true }, (socket) => {
-    connections.set(socket, new Connection(socket, handler, clock, log));
+    if (connections.size >= maxConnections && !makeRoom()) {
+      socket.destroy();
+      return;
+    }
+    const connection = new Connection(socket, handler, clock, log, () => {
+      connections.delete(socket);
+      connections.set(socket, connection);
+    });
+    connections.set(socket, connection);
     socket.on('close', () => connections.delete(socket));
   });
-  server.maxConnections = maxConnections;
   const sweep = setInterval(() => {
     const now = clock.steadyMs();
     for (const connection of connections.values()) connection.sweep(now);
--- a/src/main.ts
+++ b/src/main.ts
@@ -3,7 +3,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { systemClock } from './clock.js';
-import { RESERVED_SOCKETS } from './constants.js';
+import { RESERVED_SOCKETS, WORKER_CALL_SHARE } from './constants.js';
 import { Controller } from './controller.js';
 import { SocketCaller } from './http/client.js';
 import { serveHttp } from './http/server.js';
@@ -20,6 +20,9 @@
     destination({ fd: 2, sync: true }),
   );
   const clock = systemClock;
+  // Sized so that every machine, the users, and what we open ourselves fit together.
+  const forCommands = Math.ceil(settings.maxConnections * WORKER_CALL_SHARE);
+  const forClients = Math.max(1, settings.maxConnections - RESERVED_SOCKETS - forCommands);
   const generator = xoroshiro128plus((Date.now() ^ (process.pid << 16)) | 0);
   const peers = new PeerLinks(settings.member, settings.peers, clock, log);
   const controller = new Controller({
@@ -29,7 +32,7 @@
     bornMs: 0,
     random: () => uniformFloat64(generator),
     caller: new SocketCaller(clock),
-    workerCaller: new SocketCaller(clock, 1),
+    workerCaller: new SocketCaller(clock, 1, forCommands),
     peers,
     log,
   });
@@ -41,10 +44,9 @@
   process.on('unhandledRejection', (error) => log.error({ err: error }, 'unexpected rejection'));
   try {
     await peers.listen(settings.peerAddress);
-    const most = Math.max(1, settings.maxConnections - RESERVED_SOCKETS);
     await serveHttp(
       settings.publicAddress,
-      most,
+      forClients,
       (request, respond) => controller.handle(request, respond),
       clock,
       log,
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
-import { connect, createServer, type AddressInfo, type Server } from 'node:net';
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { test } from 'node:test';
 import { pino } from 'pino';
-import { systemClock } from '../src/clock.js';
-import { MAX_BODY_BYTES } from '../src/constants.js';
+import { systemClock, type Clock } from '../src/clock.js';
+import { LEFT_CONNECTION_MS, MAX_BODY_BYTES } from '../src/constants.js';
 import { SocketCaller } from '../src/http/client.js';
 import { CallError } from '../src/http/message.js';
 import { HttpParser, HttpSyntaxError } from '../src/http/parser.js';
@@ -84,15 +84,15 @@
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-async function echoServer(): Promise<Server> {
+async function echoServer(most = 10, clock: Clock = systemClock): Promise<Server> {
   return serveHttp(
     '127.0.0.1:0',
-    10,
+    most,
     (request, respond) => {
       if (request.path === '/throw') throw new Error('on purpose');
       respond({ status: 200, body: JSON.stringify(request) });
     },
-    systemClock,
+    clock,
     pino({ level: 'silent' }),
   );
 }
@@ -146,3 +146,49 @@
   silent.close();
   await new Promise((resolve) => server.close(resolve));
 });
+
+test('server: when all connections are taken, only one that was left gives way', async () => {
+  let nowMs = 0;
+  const server = await echoServer(2, { ...systemClock, steadyMs: () => nowMs });
+  const address = addressOf(server);
+  const [host, port] = address.split(':') as [string, string];
+  const ask = (socket: Socket): Promise<boolean> =>
+    new Promise((resolve) => {
+      if (socket.destroyed) return resolve(false);
+      socket.once('data', () => resolve(true));
+      socket.once('close', () => resolve(false));
+      socket.write(`GET / HTTP/1.1\r\n${HOST}\r\n`);
+    });
+  const open = (): Socket => connect({ host, port: Number(port) }).on('error', () => undefined);
+  const [left, used] = [open(), open()];
+  assert.ok((await ask(left)) && (await ask(used)));
+  nowMs = LEFT_CONNECTION_MS - 1_000;
+  assert.ok(await ask(used));
+  assert.equal(await ask(open()), false, 'all are in use');
+  nowMs = LEFT_CONNECTION_MS + 1_000;
+  const late = open();
+  assert.ok(await ask(late), 'the one that was left gives way');
+  assert.ok(await ask(used), 'the one in use stays');
+  assert.equal(await ask(left), false);
+  for (const socket of [left, used, late]) socket.destroy();
+  await new Promise((resolve) => server.close(resolve));
+});
+
+test('client: connections to all addresses together are bounded, an idle one goes for a new one', async () => {
+  const servers = await Promise.all([echoServer(), echoServer(), echoServer()]);
+  const caller = new SocketCaller(systemClock, 1, 2);
+  const call = (server: Server) => caller.call(addressOf(server), 'GET', '/', undefined, 5000);
+  for (const server of [...servers, ...servers]) assert.equal((await call(server)).status, 200);
+  const counts = await Promise.all(
+    servers.map((s) => new Promise<number>((resolve) => s.getConnections((_e, n) => resolve(n)))),
+  );
+  assert.ok(counts.reduce((a, b) => a + b) <= 3, `${counts.join(' ')} open`);
+  // All in use: the third is told at once.
+  const results = await Promise.allSettled(servers.map(call));
+  assert.deepEqual(
+    results.map((r) => (r.status === 'rejected' ? (r.reason as CallError).failure : r.value.status)),
+    [200, 200, 'unsent'],
+  );
+  caller.close();
+  await Promise.all(servers.map((s) => new Promise((resolve) => s.close(resolve))));
+});
