--- a/test/simulation.test.ts
+++ b/test/simulation.test.ts
@@ -376,16 +376,25 @@
 });
 
 test('hundreds of machines and large arrays: work is bounded by counts', async () => {
-  const day = new SimDay(13, { controllers: 7, machines: 320, scale: 100 });
+  const day = new SimDay(13, { controllers: 7, machines: 320, scale: 200 });
   const mustEnd: SimJob[] = [];
   for (let i = 0; i < 4; i++)
     day.at(2, () => day.submit({ kind: 'service', team: 'red', tasks: 9, scatter: true }));
   for (const [s, tasks] of [
-    [5, 300],
-    [30, 150],
-    [45, 600],
+    [5, 500],
+    [30, 300],
+    [45, 1000],
   ] as const)
     day.at(s, () => mustEnd.push(day.submit({ tasks, runS: 20, dueS: 80, spot: true })));
+  // Machines die together, and others hang for a while, right before a change of leader.
+  day.at(58, () => {
+    const hosts = [...day.cloud.hosts.values()];
+    for (const host of hosts.slice(0, 100)) day.cloud.take(host.name);
+    for (const host of hosts.slice(100, 180)) if (host.worker) host.worker.hanging = true;
+  });
+  day.at(65, () => {
+    for (const { worker } of day.cloud.hosts.values()) if (worker) worker.hanging = false;
+  });
   // The leader, whoever it is, and others with it.
   day.at(60, () => ['c0', 'c1', 'c2'].forEach((c) => day.crash(c, 3000)));
   let looks = 0;
@@ -407,7 +416,7 @@
   );
   assert.equal(day.rules.killedByLease, 0);
   const machines = day.cloud.rented;
-  assert.ok(machines > 200, `only ${machines} machines`);
+  assert.ok(machines > 600, `only ${machines} machines`);
   const total = (counts: number[]): number => counts.reduce((sum, count) => sum + (count ?? 0), 0);
   // The state service's rates of the settings hold in every second, also around the change of leader.
   const most = (counts: number[]): number => counts.reduce((max, count) => Math.max(max, count ?? 0), 0);
