--- /dev/null
+++ b/test/writer.test.ts
@@ -0,0 +1,45 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { pino } from 'pino';
+import { SimClock } from '../src/simulation/clock.js';
+import type { Operation, StateClient, TxnResult } from '../src/state/client.js';
+import type { Mirror } from '../src/state/mirror.js';
+import { Writer } from '../src/state/writer.js';
+
+function setUp(answer: () => TxnResult) {
+  const clock = new SimClock();
+  const written: string[][] = [];
+  const client = {
+    limits: { rps: 100, writesPerS: 100, txnOps: 1 },
+    multi: (_conditions: unknown, operations: Operation[]) => {
+      written.push(operations.map(({ key }) => key));
+      return Promise.resolve(answer());
+    },
+  };
+  const mirror = { confirm: () => undefined } as unknown as Mirror;
+  const writer = new Writer(client as unknown as StateClient, mirror, clock, pino({ level: 'silent' }));
+  return { clock, written, writer };
+}
+
+test('writer: in an outage a user is told at once, what the leader writes waits', async () => {
+  const cases: [result: TxnResult, user: string][] = [
+    [{ outcome: 'refused', status: 503 }, 'refused'],
+    [{ outcome: 'refused', status: 429 }, 'waits'],
+  ];
+  for (const [result, expected] of cases) {
+    const { clock, writer } = setUp(() => result);
+    const ends = { user: 'waits', leader: 'waits' };
+    void writer.commit([], [{ key: 'l', value: 1 }], 5_000).then((r) => (ends.leader = r.outcome));
+    void writer.commitForUser([], [{ key: 'u', value: 1 }], 5_000).then((r) => (ends.user = r.outcome));
+    await clock.runUntil(1_000);
+    assert.deepEqual(ends, { user: expected, leader: 'waits' });
+  }
+});
+
+test('writer: what users wait for goes before what the leader writes', async () => {
+  const { clock, written, writer } = setUp(() => ({ outcome: 'applied', epoch: 1 }));
+  for (const key of ['l1', 'l2']) void writer.commit([], [{ key, value: 1 }], 5_000);
+  for (const key of ['u1', 'u2']) void writer.commitForUser([], [{ key, value: 1 }], 5_000);
+  await clock.runUntil(1_000);
+  assert.deepEqual(written.flat(), ['u1', 'u2', 'l1', 'l2']);
+});
