--- a/src/constants.ts
+++ b/src/constants.ts
@@ -96,6 +96,16 @@
  * restarted controller has to wait it out.
  */
 export const GRANT_MS = 1_500;
+/** ms: on top of the chain from a confirmed cancellation to its last task's end: watch of leases, late timers. */
+export const KNOWN_MARGIN_MS = 1_000;
+/** ms: since when a leader that is served must know all cancellations to start tasks; a watch may take that long. */
+export const START_KNOWN_MS = 5_000;
+/** count: cancellations that a controller can pass on; twice as many for a moment. A leader lacks seconds' worth. */
+export const CANCELLATIONS_KEPT = 1_000;
+/** count: logs of cancellations of which two never bear the same number. */
+export const LOG_NUMBERS = 2 ** 48;
+/** bytes: on the safe side, of the key and stamp of a row that is passed on. */
+export const ROW_EXTRA_BYTES = 256;
 /** ms: between two requests for promises. */
 export const GRANT_ASK_MS = 350;
 /** ms: on top of a promise before the promiser stands. */
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -7,6 +7,7 @@
 import { Deputy } from './leadership/deputy.js';
 import { Election, type Term } from './leadership/election.js';
 import { Leader } from './leadership/leader.js';
+import { answerWithinMs, Knowledge } from './leadership/knowledge.js';
 import type { PeerChannel } from './leadership/peers.js';
 import { Relay } from './leadership/relay.js';
 import type { Settings } from './settings.js';
@@ -35,6 +36,8 @@
   private readonly mirror: Mirror;
   private readonly writer: Writer;
   private readonly election: Election;
+  private readonly knowledge: Knowledge;
+  private readonly client: StateClient;
   private readonly deputy: Deputy;
   private readonly frontdoor: Frontdoor;
   private readonly relay: Relay;
@@ -43,14 +46,16 @@
 
   constructor(private readonly world: World) {
     const { settings, clock, caller, log, peers } = world;
-    const client = new StateClient(
+    const client = (this.client = new StateClient(
       caller,
       settings.stateAddress,
       clock,
       settings.state,
       settings.controllers,
-    );
+    ));
     this.mirror = new Mirror(client, PREFIX, clock, log);
+    this.knowledge = new Knowledge(answerWithinMs(settings.cancelS, settings.leaseS));
+    this.mirror.onRead((askedMs) => this.knowledge.learned(askedMs));
     this.writer = new Writer(client, this.mirror, clock, log);
     this.election = new Election(
       { member: settings.member, zone: settings.zone },
@@ -61,6 +66,8 @@
       { elected: (term) => void this.lead(term), lost: () => this.dropLeader() },
       clock,
       world.random,
+      this.knowledge,
+      settings.state.valueKb,
       world.bornMs,
       log,
     );
@@ -141,6 +148,8 @@
     this.leader = new Leader({
       settings,
       term,
+      knowledge: this.knowledge,
+      isServed: () => !this.client.failing,
       mirror: this.mirror,
       writer: this.writer,
       caller: this.world.caller,
--- a/src/leadership/deputy.ts
+++ b/src/leadership/deputy.ts
@@ -2,21 +2,13 @@
 import { Actor } from '../actor.js';
 import type { Clock } from '../clock.js';
 import { DEPUTY_AFTER_MS, DEPUTY_FRESH_MS, DEPUTY_TICK_MS, KEPT_BATCH } from '../constants.js';
-import { encodeOrders, type Order, type Report } from '../fleet/codec.js';
+import { encodeOrders, type Report } from '../fleet/codec.js';
 import type { Respond } from '../http/message.js';
 import type { Mirror } from '../state/mirror.js';
-import {
-  decodeJob,
-  encodeKept,
-  groupHolds,
-  GROUPS,
-  jobKey,
-  KEPT,
-  keptKey,
-  LEADER_KEY,
-} from '../state/records.js';
+import { encodeKept, groupHolds, GROUPS, KEPT, keptKey, LEADER_KEY } from '../state/records.js';
 import type { Writer } from '../state/writer.js';
 import { formatJson, isObject, type WireInt } from '../wire/json.js';
+import { stopsOfEnded } from './stops.js';
 
 export interface DeputyDeps {
   member: string;
@@ -171,13 +163,8 @@
 
   private answer({ report, respond, freshMs }: Asking & { freshMs: number }): void {
     const term = this.kept.get(report.node);
-    const orders: Order[] = [];
-    for (const task of report.tasks) {
-      const record = decodeJob(this.deps.mirror.get(jobKey(task.job))?.value);
-      // A cancelled job's tasks must end in time also where the leader can't reach them.
-      if (task.state !== 'exited' && record && record.phase !== 'open')
-        orders.push({ verb: 'stop', task: `${task.job}/${task.index}`, attempt: task.attempt, leewayS: 0 });
-    }
+    // A cancelled job's tasks must end in time also where the leader can't reach them.
+    const orders = stopsOfEnded(report, this.deps.mirror);
     // Checked last: what was read in the state service holds for a moment only.
     const tooLate = this.deps.clock.steadyMs() - freshMs > DEPUTY_FRESH_MS;
     if (tooLate || term === undefined || this.leader()?.term !== term) respond(NOT_ENTITLED);
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -13,19 +13,33 @@
   HANDOVER_TERM_MS,
   LEADER_TOUCH_MS,
   LEADER_TTL_MS,
+  LOG_NUMBERS,
   PEER_BEAT_MS,
+  PEER_FRAME_BYTES,
   PROBE_MS,
+  ROW_EXTRA_BYTES,
   STAND_JITTER_MS,
   STAND_FAR_MS,
   STATE_CALL_MS,
   STATE_FAILING_MS,
 } from '../constants.js';
-import type { StateClient, TxnResult } from '../state/client.js';
+import type { Row, StateClient, TxnResult } from '../state/client.js';
 import type { Mirror } from '../state/mirror.js';
-import { decodeGroup, GROUPS, LEADER_KEY, TERM_KEY } from '../state/records.js';
+import {
+  decodeGroup,
+  decodeJob,
+  GROUPS,
+  isCancelled,
+  isJobKey,
+  LEADER_KEY,
+  TERM_KEY,
+} from '../state/records.js';
 import { isObject, type WireInt } from '../wire/json.js';
 import { Authority } from './authority.js';
-import type { Peer, PeerChannel, PeerMessage } from './peers.js';
+import { CancellationLog, type LogPosition } from './cancellation-log.js';
+import type { Knowledge } from './knowledge.js';
+import type { PeerMessage } from './peer-codec.js';
+import type { Peer, PeerChannel } from './peers.js';
 
 /** A term that this controller holds. */
 export interface Term {
@@ -57,6 +71,18 @@
   sinceMs: number;
 }
 
+/** One round of promises, as the leader sees it. */
+interface Round {
+  id: number;
+  atMs: number;
+  /** Who has not promised yet, and who has not passed on all it knows. */
+  missing: Set<string>;
+  uninformed: Set<string>;
+  /** Messages of cancellations that came, and the promise that says how many there are. */
+  parts: Map<string, number>;
+  informs: Map<string, { parts: number; at: LogPosition }>;
+}
+
 /**
  * One leader at a time. Its key in the state service hangs on a lease; whoever finds the key gone raises the term
  * by a conditional write. While the state service answers nobody, the promises of all other controllers carry the
@@ -78,7 +104,12 @@
   private readonly heardMs = new Map<string, number>();
   /** Since when each other controller is heard of without a gap. */
   private readonly upSinceMs = new Map<string, number>();
-  private asked: { id: number; atMs: number; missing: Set<string> } | undefined;
+  private round: Round | undefined;
+  /** The cancelled jobs in our copy, for a leader that the state service does not serve. */
+  private readonly cancellations: CancellationLog;
+  /** How far each other controller's log has been taken into our copy. */
+  private readonly logsRead = new Map<string, LogPosition>();
+  private readonly rowsPerMessage: number;
 
   constructor(
     private readonly self: { member: string; zone: string },
@@ -89,6 +120,8 @@
     private readonly events: ElectionEvents,
     private readonly clock: Clock,
     private readonly random: () => number,
+    private readonly knowledge: Knowledge,
+    valueKb: number,
     /** Steady ms at which this process began. */
     bornMs: number,
     log: Logger,
@@ -99,7 +132,11 @@
     // counted from when this process began.
     this.promisedUntilMs = peers.length > 0 ? bornMs + GRANT_MS * (1 + CLOCK_DRIFT) + GRANT_MARGIN_MS : now;
     this.nextStandMs = this.promisedUntilMs + this.standDelayMs();
+    this.cancellations = new CancellationLog(Math.floor(random() * LOG_NUMBERS));
+    this.rowsPerMessage = Math.max(1, Math.floor(PEER_FRAME_BYTES / 4 / (valueKb * 1024 + ROW_EXTRA_BYTES)));
     mirror.onChange((change) => {
+      if (isJobKey(change.key) && isCancelled(change.value))
+        this.cancellations.note(change.key, change.stamp);
       if (change.key === LEADER_KEY) this.send({ kind: 'leaderChanged' });
     });
     channel.onMessage((member, message) => this.send({ kind: 'peer', member, message }));
@@ -375,9 +412,19 @@
 
   private askPromises(now: number): void {
     const id = ++this.askId;
-    this.asked = { id, atMs: now, missing: new Set(this.peers.map((peer) => peer.member)) };
+    const others = this.peers.map((peer) => peer.member);
+    this.round = {
+      id,
+      atMs: now,
+      missing: new Set(others),
+      uninformed: new Set(others),
+      parts: new Map(),
+      informs: new Map(),
+    };
     const term = this.leading!.term.number;
-    for (const peer of this.peers) this.channel.send(peer.member, { kind: 'ask', id, term });
+    const since = this.mirror.completeTo;
+    for (const member of others)
+      this.channel.send(member, { kind: 'ask', id, term, since, read: this.logsRead.get(member) });
   }
 
   private onTouched({ askedMs, hold, alive }: Extract<Message, { kind: 'touched' }>): void {
@@ -392,7 +439,7 @@
     term.authority.ended();
     this.client.setLeading(false);
     this.leading = undefined;
-    this.asked = undefined;
+    this.round = undefined;
     this.log.info({ term: term.number, reason }, 'no longer leading');
     this.follow(STAND_JITTER_MS);
     void this.client.endLease(hold).catch(() => undefined);
@@ -408,20 +455,87 @@
       else this.able.delete(member);
       this.relays.set(member, message.relays);
     } else if (message.kind === 'ask') {
-      const given = this.mayPromise(message.term);
-      if (given) {
-        const until = this.clock.steadyMs() + GRANT_MS * (1 + CLOCK_DRIFT) + GRANT_MARGIN_MS;
-        this.promisedUntilMs = Math.max(this.promisedUntilMs, until);
-      }
-      this.channel.send(member, { kind: 'promise', id: message.id, term: message.term, given });
-    } else if (message.kind === 'promise' && this.asked?.id === message.id && message.given) {
-      // A late one to a former process of ours, which led an earlier term, may bear the same number.
-      if (!this.leading || message.term !== this.leading.term.number) return;
-      this.asked.missing.delete(member);
-      if (this.asked.missing.size > 0) return;
-      this.leading.term.authority.granted(this.asked.atMs, GRANT_MS, this.clock.steadyMs());
-      this.asked = undefined;
+      this.onAsk(member, message);
+    } else if (message.kind === 'cancellations') {
+      this.onCancellations(member, message);
+    } else if (message.kind === 'promise') {
+      this.onPromise(member, message);
+    }
+  }
+
+  private onAsk(member: string, { id, term, since, read }: Extract<PeerMessage, { kind: 'ask' }>): void {
+    const given = this.mayPromise(term);
+    if (!given) {
+      this.channel.send(member, { kind: 'promise', id, term, given });
+      return;
     }
+    const until = this.clock.steadyMs() + GRANT_MS * (1 + CLOCK_DRIFT) + GRANT_MARGIN_MS;
+    this.promisedUntilMs = Math.max(this.promisedUntilMs, until);
+    this.channel.send(member, {
+      kind: 'promise',
+      id,
+      term,
+      given,
+      informs: this.inform(member, id, term, since, read),
+    });
+  }
+
+  /**
+   * Passes on the cancellations that an asking leader lacks. Who does not know can't: a process whose copy is not
+   * loaded could miss what its former self confirmed to users.
+   */
+  private inform(
+    member: string,
+    id: number,
+    term: number,
+    since: WireInt | undefined,
+    read: LogPosition | undefined,
+  ): { parts: number; at: LogPosition } | undefined {
+    const keys = since === undefined ? undefined : this.cancellations.after(read, since);
+    if (!keys || !this.mirror.isLoaded) return undefined;
+    const rows = keys.map((key) => this.mirror.get(key)).filter((row) => row !== undefined);
+    let parts = 0;
+    for (let from = 0; from < rows.length; from += this.rowsPerMessage, parts++)
+      this.channel.send(member, {
+        kind: 'cancellations',
+        id,
+        term,
+        rows: rows.slice(from, from + this.rowsPerMessage),
+      });
+    return { parts, at: this.cancellations.position };
+  }
+
+  private onCancellations(
+    member: string,
+    { id, term, rows }: Extract<PeerMessage, { kind: 'cancellations' }>,
+  ): void {
+    const round = this.currentRound(id, term);
+    if (!round || !rows.every(isCancelledJob)) return;
+    for (const row of rows) this.mirror.learn(row);
+    round.parts.set(member, (round.parts.get(member) ?? 0) + 1);
+    this.countRound(round, member);
+  }
+
+  private onPromise(member: string, message: Extract<PeerMessage, { kind: 'promise' }>): void {
+    const round = this.currentRound(message.id, message.term);
+    if (!round || !message.given) return;
+    if (round.missing.delete(member) && round.missing.size === 0)
+      this.leading!.term.authority.granted(round.atMs, GRANT_MS, this.clock.steadyMs());
+    if (message.informs) round.informs.set(member, message.informs);
+    this.countRound(round, member);
+  }
+
+  /** A late one to a former process of ours, which led an earlier term, may bear the same number. */
+  private currentRound(id: number, term: number): Round | undefined {
+    return this.leading?.term.number === term && this.round?.id === id ? this.round : undefined;
+  }
+
+  /** A promise informs us only once all that belongs to it is in our copy. */
+  private countRound(round: Round, member: string): void {
+    const informs = round.informs.get(member);
+    if (!informs || (round.parts.get(member) ?? 0) < informs.parts) return;
+    this.logsRead.set(member, informs.at);
+    if (round.uninformed.delete(member) && round.uninformed.size === 0) this.knowledge.learned(round.atMs);
   }
 
   /** Only who is not served either: with one that is, the leader alone is cut off and must make way. */
@@ -443,3 +557,7 @@
     return now - this.probingMs > PROBE_MS;
   }
 }
+
+function isCancelledJob(row: Row): boolean {
+  return isJobKey(row.key) && isCancelled(row.value) && decodeJob(row.value) !== undefined;
+}
--- a/src/leadership/leader.ts
+++ b/src/leadership/leader.ts
@@ -41,10 +41,15 @@
 import { formatJson, type WireInt } from '../wire/json.js';
 import type { Term } from './election.js';
 import { JobStore, type StoreEnd } from './job-store.js';
+import type { Knowledge } from './knowledge.js';
+import { stopsOfEnded } from './stops.js';
 
 export interface LeaderDeps {
   settings: Settings;
   term: Term;
+  knowledge: Knowledge;
+  /** Whether the state service answered our last call. */
+  isServed: () => boolean;
   mirror: Mirror;
   writer: Writer;
   caller: HttpCaller;
@@ -403,12 +408,21 @@
       orders.push(order);
     }
     // Checked last, right before the answer goes out.
-    if (!term.authority.holds(this.now())) return respond(NOT_ANSWERED);
+    if (!this.mayAnswer()) return respond(NOT_ANSWERED);
     this.ledger.answered(node, this.now() + heldMs);
     respond({ status: 200, body: formatJson(encodeOrders(term.number, orders)) });
   }
 
-  /** Shows our token to a worker that does not know it yet, and says nothing else. */
+  /** Whether we are the only one entitled to answer workers, and know what was cancelled (knowledge.ts). */
+  private mayAnswer(): boolean {
+    const now = this.now();
+    return this.deps.term.authority.holds(now) && this.deps.knowledge.mayAnswer(now);
+  }
+
+  /**
+   * Shows our token to a worker that does not know it yet, and stops what belongs to jobs that are over: leaders may
+   * change faster than workers report. Nothing else is said, as the report may be a copy of long ago.
+   */
   private greet(node: Node | undefined, report: Report, respond: Respond, heldMs: number): void {
     const now = this.now();
     if (node) {
@@ -419,10 +433,11 @@
       if (!node.recorded) this.records.use(node);
       this.passSoon();
     }
-    if (!this.deps.term.authority.holds(this.now())) return respond(NOT_ANSWERED);
+    if (!this.mayAnswer()) return respond(NOT_ANSWERED);
     // A machine without record holds no task of ours, so its lease is of no matter.
     if (node) this.ledger.answered(node, this.now() + heldMs);
-    respond({ status: 200, body: formatJson(encodeOrders(this.deps.term.number, [])) });
+    const stops = stopsOfEnded(report, this.deps.mirror);
+    respond({ status: 200, body: formatJson(encodeOrders(this.deps.term.number, stops)) });
   }
 
   private seen(node: Node): void {
@@ -447,6 +462,7 @@
     const { job, node } = attempt;
     if (!job || !job.isOpen || !job.released || !node.recorded || !node.current || node.returning)
       return false;
+    if (!this.deps.knowledge.mayStart(this.now(), this.deps.isServed())) return false;
     return this.recovered || !job.inherited;
   }
 
--- a/src/leadership/peers.ts
+++ b/src/leadership/peers.ts
@@ -5,23 +5,7 @@
 import { PEER_BEAT_MS, PEER_FRAME_BYTES, PEER_RETRY_MS, PEER_SILENT_MS } from '../constants.js';
 import { splitAddress } from '../http/server.js';
 import { isObject } from '../wire/json.js';
-
-/** What controllers say to each other. */
-export type PeerMessage =
-  /** From the leader: running tasks per job, for display. */
-  | { kind: 'counts'; running: Record<string, number> }
-  /** Leader to peer: promise not to stand. */
-  | { kind: 'ask'; id: number; term: number }
-  | { kind: 'promise'; id: number; term: number; given: boolean }
-  /**
-   * Whether the sender could lead: the state service serves it, and it made way for nobody a moment ago. And whose
-   * workers' reports it would relay: the leader, if it hears it.
-   */
-  | { kind: 'able'; able: boolean; relays: string | null }
-  /** To the leader: a worker's report, and its answer. */
-  | { kind: 'relay'; id: number; body: string }
-  | { kind: 'relayed'; id: number; status: number; body: string }
-  | { kind: 'beat' };
+import { decodePeerMessage, type PeerMessage } from './peer-codec.js';
 
 export interface Peer {
   member: string;
@@ -111,9 +95,15 @@
     socket.on('data', (data: Buffer) => {
       try {
         for (const message of frames.feed(data)) {
-          if (!isObject(message)) throw new Error('bad peer message');
-          if (member === undefined) member = String(message.member);
-          else for (const listener of this.listeners) listener(member, message as unknown as PeerMessage);
+          if (member === undefined) {
+            const name = isObject(message) ? message.member : undefined;
+            if (!this.peers.some((peer) => peer.member === name)) throw new Error('not a peer');
+            member = name as string;
+            continue;
+          }
+          const known = decodePeerMessage(message);
+          if (known) for (const listener of this.listeners) listener(member, known);
+          else this.log.debug({ member }, 'message of a peer passed over');
         }
       } catch (error) {
         this.log.error({ err: error }, 'bad message of a peer');
--- a/src/leadership/relay.ts
+++ b/src/leadership/relay.ts
@@ -5,7 +5,8 @@
 import { encodeRedirect } from '../fleet/codec.js';
 import type { Respond } from '../http/message.js';
 import { formatJson } from '../wire/json.js';
-import type { PeerChannel, PeerMessage } from './peers.js';
+import type { PeerMessage } from './peer-codec.js';
+import type { PeerChannel } from './peers.js';
 
 export interface RelayDeps {
   clock: Clock;
--- a/src/simulation/network.ts
+++ b/src/simulation/network.ts
@@ -1,5 +1,6 @@
 import { CallError, type HttpCaller, type HttpResponse } from '../http/message.js';
-import type { PeerChannel, PeerMessage } from '../leadership/peers.js';
+import type { PeerMessage } from '../leadership/peer-codec.js';
+import type { PeerChannel } from '../leadership/peers.js';
 import type { SimClock } from './clock.js';
 
 export type SimHandler = (
--- a/src/state/mirror.ts
+++ b/src/state/mirror.ts
@@ -22,6 +22,7 @@
   private loaded = false;
   private stopped = false;
   private readonly listeners: ((change: Change) => void)[] = [];
+  private readonly readListeners: ((askedMs: number) => void)[] = [];
   private waiting: { resolve: () => void; reject: (error: unknown) => void }[] = [];
   private syncing = false;
   private lastSyncMs = -Infinity;
@@ -50,6 +51,16 @@
     this.listeners.push(listener);
   }
 
+  /** Told after each read that made the copy complete up to when it was asked for. */
+  onRead(listener: (askedMs: number) => void): void {
+    this.readListeners.push(listener);
+  }
+
+  /** Stamp up to which the copy is complete; single rows may be newer. */
+  get completeTo(): WireInt {
+    return this.epoch;
+  }
+
   stop(): void {
     this.stopped = true;
   }
@@ -61,7 +72,7 @@
         if (!this.loaded) await this.load();
         const askedMs = this.clock.steadyMs();
         const { epoch, changes } = await this.client.follow(this.prefix, this.epoch, WATCH_HOLD_MS);
-        this.take(changes, epoch);
+        this.take(changes, epoch, askedMs);
         const pause = askedMs + WATCH_SPACING_MS - this.clock.steadyMs();
         if (pause > 0) await sleep(this.clock, pause);
       } catch (error) {
@@ -84,6 +95,11 @@
     if (epoch > this.epoch) this.apply({ key, value, stamp: epoch });
   }
 
+  /** Takes over a row that another controller read or wrote; newer ones stay. */
+  learn(row: Row): void {
+    this.apply(row);
+  }
+
   private async syncLoop(): Promise<void> {
     this.syncing = true;
     while (this.waiting.length > 0) {
@@ -95,7 +111,7 @@
       try {
         if (!this.loaded) throw new StateError(503);
         const { epoch, changes } = await this.client.follow(this.prefix, this.epoch, 0);
-        this.take(changes, epoch);
+        this.take(changes, epoch, this.lastSyncMs);
         for (const waiter of served) waiter.resolve();
       } catch (error) {
         this.onFailure(error);
@@ -112,6 +128,7 @@
   }
 
   private async load(): Promise<void> {
+    const askedMs = this.clock.steadyMs();
     const rows = new Map<string, Row>();
     let first: WireInt | undefined;
     let since: string | undefined;
@@ -127,14 +144,18 @@
     for (const [key, row] of [...this.rows]) {
       if (!rows.has(key) && row.stamp <= first) this.apply({ key, value: undefined, stamp: first });
     }
-    for (const row of rows.values()) if (this.rows.get(row.key)?.stamp !== row.stamp) this.apply(row);
+    // Oldest first, as who passes on what came lately drops what came first.
+    const byStamp = [...rows.values()].sort((a, b) => (a.stamp < b.stamp ? -1 : a.stamp > b.stamp ? 1 : 0));
+    for (const row of byStamp) if (this.rows.get(row.key)?.stamp !== row.stamp) this.apply(row);
     this.loaded = true;
+    for (const listener of this.readListeners) listener(askedMs);
     this.log.info({ keys: this.rows.size }, 'state read');
   }
 
-  private take(changes: Change[], epoch: WireInt): void {
+  private take(changes: Change[], epoch: WireInt, askedMs: number): void {
     for (const change of changes) if (change.stamp > this.epoch) this.apply(change);
     if (epoch > this.epoch) this.epoch = epoch;
+    for (const listener of this.readListeners) listener(askedMs);
   }
 
   private apply(change: Change): void {
--- a/src/state/records.ts
+++ b/src/state/records.ts
@@ -91,6 +91,11 @@
   };
 }
 
+/** Whether a job's value says that its user cancelled it; without decoding it. */
+export function isCancelled(value: unknown): boolean {
+  return isObject(value) && value.p === PHASE_LETTER.cancelled;
+}
+
 /** Number of keys over which the finished tasks of a job are spread; the first is the job's own. */
 export function chunkCount(tasks: number): number {
   return Math.max(1, Math.ceil(tasks / DONE_CHUNK_TASKS));
--- a/test/election.test.ts
+++ b/test/election.test.ts
@@ -3,12 +3,15 @@
 import { pino } from 'pino';
 import { GRANT_ASK_MS, LEADER_TTL_MS, PROBE_MS, STATE_FAILING_MS } from '../src/constants.js';
 import { Election, type Term } from '../src/leadership/election.js';
-import type { PeerMessage } from '../src/leadership/peers.js';
+import { Knowledge } from '../src/leadership/knowledge.js';
+import type { PeerMessage } from '../src/leadership/peer-codec.js';
 import { SimClock } from '../src/simulation/clock.js';
-import type { StateClient } from '../src/state/client.js';
+import type { Change, Row, StateClient } from '../src/state/client.js';
 import type { Mirror } from '../src/state/mirror.js';
 import { LEADER_KEY, TERM_KEY } from '../src/state/records.js';
 
+const KNOWN_WITHIN_MS = 20_000;
+
 type Probe = 'served' | 'refused' | 'silent';
 
 /** One controller with a single peer; `leader` is who leads by the state service. */
@@ -26,12 +29,19 @@
   };
   const rows = new Map<string, unknown>([[TERM_KEY, { term: 6 }]]);
   if (leader !== undefined) rows.set(LEADER_KEY, { member: leader, term: 6 });
+  const learned: Row[] = [];
+  const listeners: ((change: Change) => void)[] = [];
   const mirror = {
     isLoaded: true,
     get: (key: string) => (rows.has(key) ? { key, value: rows.get(key), stamp: 1 } : undefined),
     startingWith: () => [],
-    onChange: () => undefined,
+    onChange: (listener: (change: Change) => void) => listeners.push(listener),
     confirm: () => undefined,
+    completeTo: 4,
+    learn: (row: Row) => {
+      learned.push(row);
+      for (const listener of listeners) listener(row);
+    },
     sync: () => {
       if (probe === 'silent') return new Promise(() => undefined);
       client.failing = probe === 'refused';
@@ -41,6 +51,7 @@
     },
   };
   const sent: PeerMessage[] = [];
+  const knowledge = new Knowledge(KNOWN_WITHIN_MS);
   let hear: (member: string, message: PeerMessage) => void = () => undefined;
   let term: Term | undefined;
   const election = new Election(
@@ -56,10 +67,22 @@
     { elected: (elected) => (term = elected), lost: () => undefined },
     clock,
     () => 0,
+    knowledge,
+    8,
     0,
     pino({ level: 'silent' }),
   );
-  return { clock, client, election, sent, hear: (m: PeerMessage) => hear('c1', m), term: () => term };
+  return {
+    clock,
+    client,
+    election,
+    sent,
+    mirror,
+    knowledge,
+    learned,
+    hear: (m: PeerMessage) => hear('c1', m),
+    term: () => term,
+  };
 }
 
 test('a peer whose watch is only idle does not promise, one that the state service fails does', async () => {
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -3,7 +3,7 @@
 import { pino } from 'pino';
 import { RELAY_FRESH_MS, RELAY_GIVE_UP_MS } from '../src/constants.js';
 import type { HttpResponse } from '../src/http/message.js';
-import type { PeerMessage } from '../src/leadership/peers.js';
+import type { PeerMessage } from '../src/leadership/peer-codec.js';
 import { Relay } from '../src/leadership/relay.js';
 import { SimClock } from '../src/simulation/clock.js';
 
