--- a/test/election.test.ts
+++ b/test/election.test.ts
@@ -8,7 +8,7 @@
 import { SimClock } from '../src/simulation/clock.js';
 import type { Change, Row, StateClient } from '../src/state/client.js';
 import type { Mirror } from '../src/state/mirror.js';
-import { LEADER_KEY, TERM_KEY } from '../src/state/records.js';
+import { encodeJob, jobKey, LEADER_KEY, TERM_KEY } from '../src/state/records.js';
 
 const KNOWN_WITHIN_MS = 20_000;
 
@@ -33,7 +33,9 @@
   const listeners: ((change: Change) => void)[] = [];
   const mirror = {
     isLoaded: true,
-    get: (key: string) => (rows.has(key) ? { key, value: rows.get(key), stamp: 1 } : undefined),
+    get: (key: string): Row | undefined =>
+      learned.find((row) => row.key === key) ??
+      (rows.has(key) ? { key, value: rows.get(key), stamp: 1 } : undefined),
     startingWith: () => [],
     onChange: (listener: (change: Change) => void) => listeners.push(listener),
     confirm: () => undefined,
@@ -127,3 +129,95 @@
     assert.equal(term()!.authority.holds(fromMs + LEADER_TTL_MS), carried);
   }
 });
+
+const cancelled = (uid: string, stamp: number): Row => ({
+  key: jobKey(uid),
+  value: encodeJob({ phase: 'cancelled', tasks: 1, acceptedMs: 0, tuple: 'N', successor: false, done: '' }),
+  stamp,
+});
+
+test('a promise passes on the cancellations that the asker lacks, and nothing where it may not know', async () => {
+  const cases: [
+    name: string,
+    change: (set: ReturnType<typeof setUp>) => void,
+    ask: object,
+    rows: number | undefined,
+  ][] = [
+    ['asked from where its copy is complete', () => undefined, { since: 11 }, 2],
+    ['nothing lacks', () => undefined, { since: 13 }, 0],
+    ['a former version asks', () => undefined, {}, undefined],
+    ['our copy is not loaded', ({ mirror }) => (mirror.isLoaded = false), { since: 11 }, undefined],
+  ];
+  for (const [name, change, ask, rows] of cases) {
+    const set = setUp('c1', 'refused');
+    for (const stamp of [10, 12, 13]) {
+      set.mirror.learn(cancelled(`job-${stamp}`, stamp));
+    }
+    change(set);
+    await set.clock.runUntil(STATE_FAILING_MS * 2);
+    set.client.failing = true;
+    set.hear({ kind: 'ask', id: 1, term: 6, ...ask });
+    const promise = set.sent.find((m) => m.kind === 'promise');
+    assert.ok(promise?.given, name);
+    const sent = set.sent.flatMap((m) => (m.kind === 'cancellations' ? m.rows : []));
+    assert.equal(promise.informs && sent.length, rows, name);
+    if (rows) assert.deepEqual(sent.at(-1), cancelled('job-13', 13));
+    // Asked again, it reads on from where it was.
+    if (!promise.informs) continue;
+    set.sent.length = 0;
+    set.hear({ kind: 'ask', id: 2, term: 6, since: 0, read: promise.informs.at });
+    assert.deepEqual(
+      set.sent.map((m) => m.kind),
+      ['promise'],
+      name,
+    );
+  }
+});
+
+test('a leader knows what a promise passes on only once all of it is in its copy', async () => {
+  type Round = { rows: Row[][]; parts: number | undefined; first: 'rows' | 'promise' };
+  const cases: [name: string, round: Round, learned: number, knows: boolean][] = [
+    ['nothing to tell', { rows: [], parts: 0, first: 'rows' }, 0, true],
+    ['a part, then the promise', { rows: [[cancelled('job-1', 9)]], parts: 1, first: 'rows' }, 1, true],
+    [
+      'the promise overtakes its part',
+      { rows: [[cancelled('job-1', 9)]], parts: 1, first: 'promise' },
+      1,
+      true,
+    ],
+    ['one of two parts is lost', { rows: [[cancelled('job-1', 9)]], parts: 2, first: 'rows' }, 1, false],
+    ['an old version says nothing of it', { rows: [], parts: undefined, first: 'rows' }, 0, false],
+    [
+      'a row that is no cancelled job is not believed',
+      { rows: [[{ ...cancelled('job-1', 9), key: LEADER_KEY }]], parts: 1, first: 'rows' },
+      0,
+      false,
+    ],
+  ];
+  for (const [name, { rows, parts, first }, learned, knows] of cases) {
+    const set = setUp(undefined);
+    set.election.start();
+    while (!set.term()) await set.clock.runUntil(set.clock.steadyMs() + 50);
+    set.client.failing = true;
+    const { number } = set.term()!;
+    let ask: PeerMessage | undefined;
+    while (!(ask = set.sent.find((m) => m.kind === 'ask')))
+      await set.clock.runUntil(set.clock.steadyMs() + 10);
+    assert.ok(ask.kind === 'ask');
+    assert.equal(ask.since, set.mirror.completeTo);
+    const { id } = ask;
+    const informs = parts === undefined ? undefined : { parts, at: { log: 1, seq: 1 } };
+    const messages: PeerMessage[] = rows.map((part) => ({
+      kind: 'cancellations',
+      id,
+      term: number,
+      rows: part,
+    }));
+    const promise: PeerMessage = { kind: 'promise', id, term: number, given: true, informs };
+    for (const message of first === 'rows' ? [...messages, promise] : [promise, ...messages])
+      set.hear(message);
+    assert.equal(set.learned.length, learned, name);
+    assert.equal(set.knowledge.mayAnswer(set.clock.steadyMs()), knows, name);
+    assert.ok(set.term()!.authority.holds(set.clock.steadyMs()), name);
+  }
+});
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -8,7 +8,16 @@
   worthOf,
   type Absence,
 } from '../src/fleet/lease.js';
+import {
+  CANCELLATIONS_KEPT,
+  CLOCK_DRIFT,
+  GRANT_MS,
+  RELAY_FRESH_MS,
+  START_KNOWN_MS,
+} from '../src/constants.js';
 import { Authority } from '../src/leadership/authority.js';
+import { CancellationLog } from '../src/leadership/cancellation-log.js';
+import { answerWithinMs, Knowledge } from '../src/leadership/knowledge.js';
 
 test('a lease has surely ended only after its length, the drift of clocks and a margin', () => {
   assert.ok(leaseEndMs(1000, 10) > 1000 + 10_000 * 1.0005);
@@ -139,3 +148,82 @@
     }
   }
 });
+
+test('settings say for how long a leader may answer without knowing what was cancelled', () => {
+  const cases: [cancelS: number, leaseS: number][] = [
+    [39, 14],
+    [35, 10],
+    [40.25, 15.25],
+    [20, 10],
+    [10, 10],
+  ];
+  for (const [cancelS, leaseS] of cases) {
+    const withinMs = answerWithinMs(cancelS, leaseS);
+    // The worst chain: an answer in ignorance at the last moment, held by a relay, then a whole lease on slow clocks.
+    const goneMs = leaseEndMs(withinMs + RELAY_FRESH_MS, leaseS) * (1 + CLOCK_DRIFT);
+    assert.ok(goneMs < cancelS * 1000, `${cancelS} ${leaseS}: ${goneMs}`);
+    // Where there is no room, nothing is answered in ignorance, rather than too long.
+    assert.equal(withinMs > 0, cancelS > leaseS + 4, `${cancelS} ${leaseS}`);
+  }
+});
+
+test('what may be answered and started follows from since when all cancellations are known', () => {
+  const cases: [
+    learnedMs: number[],
+    nowMs: number,
+    answer: boolean,
+    start: [served: boolean, unserved: boolean],
+  ][] = [
+    [[], 0, false, [false, false]],
+    [[1_000], 1_500, true, [true, true]],
+    // A later word about an earlier moment takes nothing away.
+    [[5_000, 1_000], 5_100, true, [true, true]],
+    [[1_000], 1_000 + GRANT_MS, true, [true, false]],
+    [[1_000], 1_000 + START_KNOWN_MS, true, [false, false]],
+    [[1_000], 20_999, true, [false, false]],
+    [[1_000], 21_000, false, [false, false]],
+  ];
+  for (const [learned, nowMs, answer, [served, unserved]] of cases) {
+    const knowledge = new Knowledge(20_000);
+    for (const ms of learned) knowledge.learned(ms);
+    const told = `${learned.join()} at ${nowMs}`;
+    assert.equal(knowledge.mayAnswer(nowMs), answer, told);
+    assert.equal(knowledge.mayStart(nowMs, true), served, told);
+    assert.equal(knowledge.mayStart(nowMs, false), unserved, told);
+  }
+});
+
+test('a log of cancellations says what a reader lacks, or that it does not reach back', () => {
+  const log = new CancellationLog(77);
+  const keys = (from: number, to: number): string[] =>
+    Array.from({ length: to - from + 1 }, (_, i) => `k${from + i}`);
+  for (let stamp = 1; stamp < 5; stamp++) log.note(`k${stamp}`, stamp);
+  const read = log.position;
+  // Written by ourselves ahead of the watch, which then brings an earlier one of another.
+  log.note('k6', 6);
+  log.note('k5', 5);
+  const cases: [Parameters<CancellationLog['after']>, string[] | undefined][] = [
+    [
+      [undefined, 0],
+      ['k1', 'k2', 'k3', 'k4', 'k6', 'k5'],
+    ],
+    [
+      [undefined, 4],
+      ['k6', 'k5'],
+    ],
+    [[undefined, 6], []],
+    [
+      [read, 6],
+      ['k6', 'k5'],
+    ],
+    [[log.position, 0], []],
+    // Of a former process of ours.
+    [[{ log: 76, seq: 6 }, 5], ['k6']],
+  ];
+  for (const [asked, expected] of cases) assert.deepEqual(log.after(...asked), expected);
+  for (let stamp = 7; stamp <= 3 * CANCELLATIONS_KEPT; stamp++) log.note(`k${stamp}`, stamp);
+  const last = 3 * CANCELLATIONS_KEPT;
+  assert.equal(log.after(undefined, 5), undefined);
+  assert.equal(log.after(read, 5), undefined);
+  assert.deepEqual(log.after(undefined, last - 2), keys(last - 1, last));
+});
