--- a/src/simulation/day.ts
+++ b/src/simulation/day.ts
@@ -15,6 +15,8 @@
 const REPORT_S = 1.5;
 const LEASE_S = 14;
 const CANCEL_S = 35;
+/** A start command may be under way, or its image be fetched, for this long after a cancellation was confirmed. */
+const UNDER_WAY_S = 8;
 
 export interface DayOptions {
   controllers: number;
@@ -26,6 +28,8 @@
   machineZones?: string[];
 }
 
+const MACHINE = { sku: 'm4', cpus: 4, memGb: 16, bootS: 8, price: 0.2 };
+
 const SMALL: DayOptions = { controllers: 3, machines: 24, scale: 1 };
 
 const membersOf = (options: DayOptions): string[] =>
@@ -85,6 +89,8 @@
   cpus: 2,
   spot: false,
   scatter: false,
+  oneZone: false,
+  zone: null,
   runS: 20,
   dueS: null,
 };
@@ -103,6 +109,9 @@
   private readonly users;
   private jobs = 0;
 
+  /** From when on all troubles are over. */
+  calmMs = Infinity;
+
   readonly members: string[];
 
   constructor(
@@ -115,31 +124,37 @@
     this.network = new SimNetwork(this.clock, this.random);
     this.peers = new SimPeers(this.network);
     const limits = new Map(settingsOf('c0', options).teams.map((t) => [t.name, t.cpusMax]));
-    this.rules = new SimRules(() => this.clock.steadyMs(), limits, CANCEL_S);
-    this.state = new SimStateService(this.clock);
-    const types = [{ sku: 'm4', cpus: 4, memGb: 16, bootS: 8, price: 0.2 }];
+    this.rules = new SimRules(() => this.clock.steadyMs(), limits, CANCEL_S, UNDER_WAY_S);
+    this.state = new SimStateService(this.clock, this.random);
     const controllers = this.members.map((member) => ({ member, address: `${member}:80` }));
     const timing = { reportS: REPORT_S, leaseS: LEASE_S, fetchS: 1 };
     this.members.forEach((member) => this.network.setZone(member, settingsOf(member, options).zone));
-    this.cloud = new SimCloud(this.clock, types, options.machineZones ?? ZONES, options.machines, (place) => {
-      this.network.setZone(place.name, place.zone);
-      return new SimWorker(
-        place,
-        controllers,
-        timing,
-        this.clock,
-        this.network,
-        this.rules,
-        this.random,
-        this.finished,
-      );
-    });
+    this.cloud = new SimCloud(
+      this.clock,
+      [MACHINE],
+      options.machineZones ?? ZONES,
+      options.machines,
+      (place) => {
+        this.network.setZone(place.name, place.zone);
+        return new SimWorker(
+          place,
+          controllers,
+          timing,
+          this.clock,
+          this.network,
+          this.rules,
+          this.random,
+          this.finished,
+        );
+      },
+    );
     this.network.attach('state', 'state:1', (...args) => this.state.handle(...args));
     this.network.attach('cloud', 'cloud:1', (...args) => this.cloud.handle(...args));
     this.users = this.network.caller('users', () => true);
     for (const member of this.members) this.start(member);
     const check = (): void => {
       this.rules.check();
+      this.rules.checkWaiting(this.calmMs, this.machinesUp());
       this.clock.after(500, check);
     };
     check();
@@ -177,6 +192,12 @@
     controller.start();
   }
 
+  private machinesUp(): { name: string; zone: string; spot: boolean; cpus: number }[] {
+    return [...this.cloud.hosts.values()]
+      .filter((host) => host.worker)
+      .map(({ name, zone, spot }) => ({ name, zone, spot, cpus: MACHINE.cpus }));
+  }
+
   crash(member: string, backMs: number): void {
     this.processes.get(member)!.kill();
     this.network.detach(member);
@@ -209,6 +230,34 @@
     return job;
   }
 
+  /** Its user calls a job off now, and repeats that until it is answered. */
+  async cancel(uid: string): Promise<void> {
+    for (;;) {
+      if (this.heard(uid, await this.ask('POST', `/submissions/${uid}/abort`))) return;
+      await this.pause(1000);
+    }
+  }
+
+  /** Its user asks once how a job is. */
+  async poll(uid: string): Promise<void> {
+    this.heard(uid, await this.ask('GET', `/submissions/${uid}`));
+  }
+
+  /** Its user submits a job once more. */
+  async repeat(job: SimJob): Promise<void> {
+    const response = await this.ask('POST', '/submissions', this.wireOf(job));
+    if (response) this.rules.submitted(job.uid, response.status);
+    this.heard(job.uid, response);
+  }
+
+  /** What a user is told of a job's state; undefined: nothing. */
+  private heard(uid: string, response: HttpResponse | undefined): string | undefined {
+    const phase =
+      response?.status === 200 ? (JSON.parse(response.body) as { phase: string }).phase : undefined;
+    if (response) this.rules.told(uid, response.status, phase);
+    return phase;
+  }
+
   isOver(job: SimJob): boolean {
     return this.rules.jobs.get(job.uid)!.told !== 'open';
   }
@@ -250,9 +299,7 @@
       const cancel = this.clock.steadyMs() >= cancelAtMs;
       const path = `/submissions/${job.uid}`;
       const response = cancel ? await this.ask('POST', `${path}/abort`) : await this.ask('GET', path);
-      const phase =
-        response?.status === 200 ? (JSON.parse(response.body) as { phase: string }).phase : undefined;
-      if (response) this.rules.told(job.uid, response.status, phase);
+      const phase = this.heard(job.uid, response);
       await this.pause(cancel && !phase ? 1000 : 3000);
     }
   }
@@ -271,8 +318,8 @@
       accelerators: 0,
       memGb: 4,
       builds: null,
-      yard: null,
-      oneZone: false,
+      yard: job.zone,
+      oneZone: job.oneZone,
       scatter: job.scatter,
       loaner: job.spot,
       cast: 'img-1',
--- a/src/simulation/network.ts
+++ b/src/simulation/network.ts
@@ -26,6 +26,8 @@
   private readonly deaf = new Set<string>();
   /** Ms by which copies of a host's requests come late; undefined: none do. */
   private readonly copies = new Map<string, () => number>();
+  /** Hosts whose own requests reach nobody, while what is sent to them arrives and is answered. */
+  private readonly silenced = new Set<string>();
   private readonly addresses = new Map<string, string>();
   /** Hosts that stand still, with what is to happen there once they go on. */
   private readonly halted = new Map<string, (() => void)[]>();
@@ -55,6 +57,11 @@
     this.deaf.add(host);
   }
 
+  /** The host reaches nobody by itself; what is sent to it arrives and is answered. */
+  silence(host: string): void {
+    this.silenced.add(host);
+  }
+
   /** Each request of the host arrives once more, `lateMs` later. */
   copyLate(host: string, lateMs: () => number): void {
     this.copies.set(host, lateMs);
@@ -107,6 +114,7 @@
   heal(): void {
     this.zonesCut = false;
     this.deaf.clear();
+    this.silenced.clear();
     for (const cut of this.cuts.splice(0)) for (const deliver of cut.held) this.clock.after(1, deliver);
   }
 
@@ -132,6 +140,7 @@
           this.clock.after(timeoutMs, () =>
             this.on(from, () => end(() => reject(new CallError('unclear', 'timed out')))),
           );
+          if (this.silenced.has(from)) return;
           const lateMs = this.copies.get(from);
           if (lateMs) this.clock.after(lateMs(), () => void this.hosts.get(to)?.(from, method, target, body));
           this.deliver(from, to, () => {
--- a/src/simulation/rules.ts
+++ b/src/simulation/rules.ts
@@ -7,6 +7,9 @@
   cpus: number;
   spot: boolean;
   scatter: boolean;
+  oneZone: boolean;
+  /** The only zone allowed. */
+  zone: string | null;
   runS: number;
   dueS: number | null;
 }
@@ -20,6 +23,8 @@
   submittedMs: number;
   /** When a task of it first began, and when its user was last answered. */
   begunMs: number;
+  /** Since when it waits although a machine has room. */
+  waitsSinceMs: number;
   answeredMs: number;
   /** Task to the machine that it is on. */
   on: Map<number, { node: string; zone: string }>;
@@ -29,7 +34,11 @@
 export class SimRules {
   readonly broken: string[] = [];
   readonly jobs = new Map<string, Seen>();
+  /** Told when the last task of a job completes. */
+  readonly onLastDone: ((uid: string) => void)[] = [];
   started = 0;
+  /** Starts so long after a confirmed cancellation that their command was given after it. */
+  readonly startedCancelled: string[] = [];
   /** Starts of tasks that had started before. */
   startedAgain = 0;
   private readonly begun = new Set<string>();
@@ -42,6 +51,8 @@
     private readonly nowMs: () => number,
     private readonly limits: Map<string, number>,
     private readonly cancelS: number,
+    /** Seconds after a confirmed cancellation in which a start command may still be under way. */
+    private readonly underWayS: number,
   ) {}
 
   add(job: SimJob): void {
@@ -53,6 +64,7 @@
       done: new Set(),
       submittedMs: this.nowMs(),
       begunMs: Infinity,
+      waitsSinceMs: Infinity,
       answeredMs: this.nowMs(),
       on: new Map(),
     });
@@ -67,11 +79,15 @@
     const other = seen.on.get(task);
     if (other) this.broke(`ran_twice: ${uid}/${task} on ${other.node} and ${place.node}`);
     if (place.spot && !job.spot) this.broke(`wrong_place: ${uid}/${task} on spot`);
-    const inZone = [...seen.on.values()].filter((p) => p.zone === place.zone).length;
-    if (job.scatter && inZone + 1 > Math.ceil(job.tasks / 2))
+    const elsewhere = [...seen.on.values()].some((p) => p.zone !== place.zone);
+    if ((job.oneZone && elsewhere) || (job.zone !== null && job.zone !== place.zone))
+      this.broke(`wrong_place: ${uid}/${task} in ${place.zone}`);
+    if (job.scatter && this.inZone(seen, place.zone) + 1 > Math.ceil(job.tasks / 2))
       this.broke(`wrong_place: ${uid} in ${place.zone}`);
     if (this.nowMs() > seen.cancelledMs + this.cancelS * 1000)
       this.broke(`ran_cancelled: ${uid}/${task} starts`);
+    else if (this.nowMs() > seen.cancelledMs + this.underWayS * 1000)
+      this.startedCancelled.push(`${(this.nowMs() / 1000).toFixed(3)} ${uid}/${task}`);
     seen.on.set(task, place);
     seen.begunMs = Math.min(seen.begunMs, this.nowMs());
     let used = 0;
@@ -83,7 +99,9 @@
   end(uid: string, task: number, node: string, done: boolean): void {
     const seen = this.jobs.get(uid)!;
     if (seen.on.get(task)?.node === node) seen.on.delete(task);
-    if (done) seen.done.add(task);
+    if (!done || seen.done.has(task)) return;
+    seen.done.add(task);
+    if (seen.done.size === seen.job.tasks) for (const listener of this.onLastDone) listener(uid);
   }
 
   submitted(uid: string, status: number): void {
@@ -153,6 +171,47 @@
     }
   }
 
+  /**
+   * The users' addition, once all troubles are over: no job waits for long with nothing running while a machine that
+   * fits has room and its team is under its limit. `machines` are those that are up.
+   */
+  checkWaiting(
+    calmMs: number,
+    machines: { name: string; zone: string; spot: boolean; cpus: number }[],
+  ): void {
+    const now = this.nowMs();
+    const used = new Map<string, number>();
+    const teams = new Map<string, number>();
+    for (const { job, on } of this.jobs.values()) {
+      teams.set(job.team, (teams.get(job.team) ?? 0) + on.size * job.cpus);
+      for (const { node } of on.values()) used.set(node, (used.get(node) ?? 0) + job.cpus);
+    }
+    for (const [uid, seen] of this.jobs) {
+      const { job } = seen;
+      const left =
+        job.kind === 'service' ? job.tasks - seen.on.size : job.tasks - seen.done.size - seen.on.size;
+      const fits = machines.some(
+        (m) =>
+          m.cpus - (used.get(m.name) ?? 0) >= job.cpus &&
+          (job.spot || !m.spot) &&
+          (job.zone ?? m.zone) === m.zone &&
+          !(job.oneZone && seen.on.size > this.inZone(seen, m.zone)) &&
+          !(job.scatter && this.inZone(seen, m.zone) >= Math.ceil(job.tasks / 2)),
+      );
+      const under = (teams.get(job.team) ?? 0) + job.cpus <= (this.limits.get(job.team) ?? 0);
+      const waits = seen.accepted && seen.told === 'open' && left > 0 && fits && under && now >= calmMs;
+      if (!waits) seen.waitsSinceMs = Infinity;
+      else seen.waitsSinceMs = Math.min(seen.waitsSinceMs, now);
+      if (now - seen.waitsSinceMs <= 90_000) continue;
+      this.broke(`left_waiting: ${uid} has ${left} tasks waiting`);
+      seen.waitsSinceMs = Infinity;
+    }
+  }
+
+  private inZone(seen: Seen, zone: string): number {
+    return [...seen.on.values()].filter((place) => place.zone === zone).length;
+  }
+
   private broke(line: string): void {
     this.broken.push(`${(this.nowMs() / 1000).toFixed(3)} ${line}`);
   }
--- a/src/simulation/state-service.ts
+++ b/src/simulation/state-service.ts
@@ -25,11 +25,18 @@
   private readonly watchers = new Set<() => void>();
   /** Callers that get 503; '*': everybody. */
   readonly refused = new Set<string>();
+  /** Share of transactions that get no answer and are carried out seconds later, after newer ones. */
+  lateShare = 0;
+  /** Ms by which answers come late, drawn for each; undefined: at once. */
+  slowMs: (() => number) | undefined;
   /** Requests, and puts and deletes, by the second in which they came. */
   readonly requests: number[] = [];
   readonly writes: number[] = [];
 
-  constructor(private readonly clock: SimClock) {
+  constructor(
+    private readonly clock: SimClock,
+    private readonly random: () => number,
+  ) {
     const tick = (): void => {
       this.expire();
       clock.after(50, tick);
@@ -56,10 +63,15 @@
     const query = url.searchParams;
     const refused = (): boolean => this.refused.has('*') || this.refused.has(from);
     if (refused()) return json(503, {});
+    if (this.slowMs) await new Promise<void>((resolve) => this.clock.after(this.slowMs!(), resolve));
     if (url.pathname === '/follow') return this.follow(query, refused);
     if (url.pathname === '/keys') return this.page(query);
     if (url.pathname.startsWith('/keys/')) return this.get(url.pathname.slice('/keys/'.length));
-    if (url.pathname === '/multi') return this.multi(JSON.parse(body ?? ''));
+    if (url.pathname === '/multi') {
+      if (this.random() >= this.lateShare) return this.multi(JSON.parse(body ?? ''));
+      this.clock.after(2_000 + this.random() * 10_000, () => void this.multi(JSON.parse(body ?? '')));
+      return undefined;
+    }
     const [, , hold, touch] = url.pathname.split('/');
     if (hold === undefined) return this.grant(JSON.parse(body ?? '').ttlMs);
     const lease = this.leases.get(Number(hold));
