Stored values and peer messages are checked; chunks of a late write; workers that only answer commands

- A write without an answer that was carried out late left the stamps of a large array's chunks unknown: every later write of that job met a conflict.
- The answer to a direct command no longer counts as a report: a machine whose worker reaches no controller went on being given tasks until its lease ended, again and again (found by reading; test/ledger.test.ts).
- Malformed values of jobs and of the catalogue, and malformed peer messages, are not believed; a poll of a job whose value can't be read gets 503, not 404.

--- a/src/fleet/ledger.ts
+++ b/src/fleet/ledger.ts
@@ -161,7 +161,8 @@
     }
     node.session = session;
     node.tick = tick;
-    node.reportedMs = nowMs;
+    // A worker that answers commands may still reach no controller: only its reports show that its lease goes on.
+    if (byReport) node.reportedMs = nowMs;
     node.address = report.address;
     node.takenMs = report.noticeS === null ? Infinity : nowMs + report.noticeS * 1000;
     const listed = new Set<string>();
--- a/src/frontdoor/frontdoor.ts
+++ b/src/frontdoor/frontdoor.ts
@@ -17,6 +17,7 @@
   CATALOG_KEY,
   chunkCount,
   decodeJob,
+  decodeTypes,
   doneKey,
   encodeJob,
   jobKey,
@@ -198,8 +199,11 @@
     if (cached && cached.phase !== 'open') return { record: cached, row: before };
     await mirror.sync();
     const row = mirror.get(key);
-    const record = row && decodeJob(row.value);
-    return row && record ? { record, row } : undefined;
+    if (!row) return undefined;
+    const record = decodeJob(row.value);
+    // Something stands there: its job must not be called unknown, nor anything else.
+    if (!record) throw new Error(`the value of ${key} is not one of a job`);
+    return { record, row };
   }
 
   private phase(uid: string, record: JobRecord): UserPhase {
@@ -228,8 +232,8 @@
   }
 
   private types(): MachineType[] | undefined {
-    const value = this.deps.mirror.get(CATALOG_KEY)?.value;
-    return Array.isArray(value) && value.length > 0 ? (value as MachineType[]) : undefined;
+    const types = decodeTypes(this.deps.mirror.get(CATALOG_KEY)?.value);
+    return types.length > 0 ? types : undefined;
   }
 
   private onReport(request: HttpRequest, respond: Respond): void {
--- a/src/leadership/job-store.ts
+++ b/src/leadership/job-store.ts
@@ -66,15 +66,11 @@
       // Of a cancelled job with its description still there, tasks may be left on machines.
       if (!record.spec || record.phase === 'done') return;
       job = new Job(uid, record, stamp, this.deps.objectives, this.runTimes);
-      for (let chunk = 1; chunk < chunkCount(record.tasks); chunk++) {
-        const row = this.deps.mirror.get(doneKey(uid, chunk));
-        if (!row) continue;
-        job.learnDone(chunk, String(row.value));
-        job.chunkStamps.set(chunk, row.stamp);
-      }
+      this.takeChunks(job);
       this.jobs.set(uid, job);
       return;
     }
+    this.takeChunks(job);
     if (stamp <= job.stamp) return;
     job.stamp = stamp;
     job.stored = record;
@@ -86,6 +82,16 @@
     }
   }
 
+  /** A write without an answer may have been carried out late: then its chunks have stamps that we don't know yet. */
+  private takeChunks(job: Job): void {
+    for (let chunk = 1; chunk < chunkCount(job.spec.tasks); chunk++) {
+      const row = this.deps.mirror.get(doneKey(job.uid, chunk));
+      if (!row || row.stamp <= (job.chunkStamps.get(chunk) ?? 0)) continue;
+      job.learnDone(chunk, String(row.value));
+      job.chunkStamps.set(chunk, row.stamp);
+    }
+  }
+
   /** Writes what changed of a job; one write at a time for each. */
   store(job: Job): void {
     if (job.writing || !job.needsWrite) return;
--- a/src/leadership/leader.ts
+++ b/src/leadership/leader.ts
@@ -36,7 +36,15 @@
 import type { Settings } from '../settings.js';
 import type { Change } from '../state/client.js';
 import type { Mirror } from '../state/mirror.js';
-import { CATALOG_KEY, KEPT, LOSSES_KEY, decodeKept, isJobKey, isKeptKey } from '../state/records.js';
+import {
+  CATALOG_KEY,
+  KEPT,
+  LOSSES_KEY,
+  decodeKept,
+  decodeTypes,
+  isJobKey,
+  isKeptKey,
+} from '../state/records.js';
 import type { Writer } from '../state/writer.js';
 import { formatJson, type WireInt } from '../wire/json.js';
 import type { Term } from './election.js';
@@ -247,8 +255,7 @@
   // --- beginning of a term ---------------------------------------------------------------------------
 
   private loadTypes(value: unknown): void {
-    if (!Array.isArray(value)) return;
-    this.types = new Map((value as MachineType[]).map((type) => [type.name, type]));
+    this.types = new Map(decodeTypes(value).map((type) => [type.name, type]));
   }
 
   private capacityOf(type: string): Node['capacity'] {
--- a/src/simulation/state-service.ts
+++ b/src/simulation/state-service.ts
@@ -68,7 +68,7 @@
     if (url.pathname === '/keys') return this.page(query);
     if (url.pathname.startsWith('/keys/')) return this.get(url.pathname.slice('/keys/'.length));
     if (url.pathname === '/multi') {
-      if (this.random() >= this.lateShare) return this.multi(JSON.parse(body ?? ''));
+      if (this.lateShare === 0 || this.random() >= this.lateShare) return this.multi(JSON.parse(body ?? ''));
       this.clock.after(2_000 + this.random() * 10_000, () => void this.multi(JSON.parse(body ?? '')));
       return undefined;
     }
--- a/src/state/records.ts
+++ b/src/state/records.ts
@@ -1,4 +1,5 @@
 import { DONE_CHUNK_TASKS } from '../constants.js';
+import type { MachineType } from '../cloud/codec.js';
 import { isObject } from '../wire/json.js';
 import { TaskSet } from './task-set.js';
 
@@ -76,16 +77,48 @@
   return { ...base, x: record.tuple, u: record.successor ? 1 : 0, d: record.done, s: record.spec };
 }
 
+const PHASES = Object.keys(PHASE_LETTER) as Phase[];
+
+const isCount = (value: unknown): value is number => Number.isSafeInteger(value) && (value as number) > 0;
+
+function isSpec(value: unknown): value is JobSpec & Record<string, unknown> {
+  if (!isObject(value)) return false;
+  const { types, zone, dueS } = value;
+  const texts = [value.uid, value.cohort, value.team, value.image];
+  const amounts = [
+    ...[value.cpus, value.accelerators, value.memGb, value.imageGb],
+    ...[value.guessS, value.saveEveryS, value.saveS, dueS ?? 0],
+  ];
+  const flags = [value.oneZone, value.scatter, value.spot];
+  return (
+    texts.every((text) => typeof text === 'string') &&
+    amounts.every((amount) => typeof amount === 'number' && amount >= 0) &&
+    flags.every((flag) => typeof flag === 'boolean') &&
+    (value.kind === 'array' || value.kind === 'service') &&
+    RANKS.some((rank) => rank === value.rank) &&
+    isCount(value.tasks) &&
+    (types === null || (Array.isArray(types) && types.every((type) => typeof type === 'string'))) &&
+    (zone === null || typeof zone === 'string') &&
+    (dueS === null || typeof dueS === 'number')
+  );
+}
+
+/** Undefined for what is not a job's value: it is not believed. */
 export function decodeJob(value: unknown): JobRecord | undefined {
   if (!isObject(value)) return undefined;
-  const phase = value.p === 'd' ? 'done' : value.p === 'c' ? 'cancelled' : 'open';
-  if (phase === 'open' && !isObject(value.s)) return undefined;
+  const phase = PHASES.find((each) => PHASE_LETTER[each] === value.p);
+  const { n: tasks, t: acceptedMs, x: tuple, s } = value;
+  if (!phase || !isCount(tasks) || typeof acceptedMs !== 'number') return undefined;
+  if (typeof tuple !== 'string' || !/^[NESF]{1,2}$/.test(tuple)) return undefined;
+  // Fields that we don't know stay in it: another version wrote them, and needs them when we write the value again.
+  const spec = isSpec(s) && s.tasks === tasks ? s : undefined;
+  if (phase === 'open' && !spec) return undefined;
   return {
     phase,
-    tasks: Number(value.n),
-    spec: isObject(value.s) ? (value.s as unknown as JobSpec) : undefined,
-    acceptedMs: Number(value.t),
-    tuple: String(value.x),
+    tasks,
+    spec,
+    acceptedMs,
+    tuple,
     successor: value.u === 1,
     done: typeof value.d === 'string' ? value.d : '',
   };
@@ -137,6 +170,17 @@
   return isObject(value) && isObject(value.m) && Object.hasOwn(value.m, node);
 }
 
+/** The catalogue as a leader left it; entries that are none are passed over. */
+export function decodeTypes(value: unknown): MachineType[] {
+  const isType = (each: unknown): each is MachineType =>
+    isObject(each) &&
+    typeof each.name === 'string' &&
+    [each.cpus, each.accelerators, each.memGb, each.bootS].every((amount) => typeof amount === 'number') &&
+    Array.isArray(each.zones) &&
+    each.zones.every((zone) => typeof zone === 'string');
+  return Array.isArray(value) ? value.filter(isType) : [];
+}
+
 export interface KeptRecord {
   term: number;
   nodes: string[];
--- a/test/codec.test.ts
+++ b/test/codec.test.ts
@@ -3,13 +3,23 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
+import { pack, unpack } from 'msgpackr';
 import { MAX_TASKS } from '../src/constants.js';
 import { decodeReport } from '../src/fleet/codec.js';
 import { decodeSubmission } from '../src/frontdoor/codec.js';
 import { loadSettings, SettingsError } from '../src/settings.js';
-import { chunkCount, decodeDone, encodeDone } from '../src/state/records.js';
+import { decodePeerMessage, type PeerMessage } from '../src/leadership/peer-codec.js';
+import {
+  chunkCount,
+  decodeDone,
+  decodeJob,
+  decodeTypes,
+  encodeDone,
+  encodeJob,
+} from '../src/state/records.js';
 import { TaskSet } from '../src/state/task-set.js';
 import { formatJson, parseJson } from '../src/wire/json.js';
+import { jobSpec } from './fixtures.js';
 
 const SUBMISSION = {
   uid: 'job-000412',
@@ -167,3 +177,95 @@
   assert.throws(() => loadSettings(join(folder, 'none')), SettingsError);
   rmSync(folder, { recursive: true });
 });
+
+test('stored values and peer messages that are malformed, truncated or of unknown kind are not believed', () => {
+  const record = {
+    phase: 'open' as const,
+    tasks: 4,
+    spec: jobSpec(),
+    acceptedMs: 5,
+    tuple: 'NN',
+    successor: false,
+    done: '',
+  };
+  const job = encodeJob(record) as Record<string, unknown>;
+  assert.deepEqual(decodeJob(job), record);
+  // What another version adds stays, also when we write the value again.
+  const more = { ...job, s: { ...record.spec, later: ['x'] }, other: 1 };
+  assert.deepEqual((encodeJob(decodeJob(more)!) as typeof job).s, more.s);
+  const stored: unknown[] = [
+    ...[undefined, null, 7, 'x', [], {}],
+    ...[
+      { ...job, p: 'z' },
+      { ...job, n: 0 },
+      { ...job, n: 5 },
+      { ...job, n: '4' },
+      { ...job, t: null },
+    ],
+    ...[
+      { ...job, x: 'NNN' },
+      { ...job, x: 'Q' },
+      { ...job, s: undefined },
+      { ...job, s: {} },
+    ],
+    ...[
+      { ...record.spec, team: 3 },
+      { ...record.spec, cpus: '2' },
+      { ...record.spec, rank: 'most' },
+    ].map((s) => ({
+      ...job,
+      s,
+    })),
+  ];
+  for (const value of stored) assert.equal(decodeJob(value), undefined, JSON.stringify(value));
+  // Of a job that is over, the description may be gone.
+  assert.equal(decodeJob({ ...job, p: 'd', s: undefined })?.phase, 'done');
+  assert.deepEqual(decodeTypes([{ name: 'm', cpus: 'many' }, 3, null]), []);
+  assert.deepEqual(decodeTypes({}), []);
+  const known: PeerMessage[] = [
+    { kind: 'beat' },
+    { kind: 'counts', running: { 'job-1': 3 } },
+    { kind: 'able', able: true, relays: 'c1' },
+    { kind: 'relay', id: 2 ** 52 + 7, body: '{}' },
+    { kind: 'relayed', id: 1, status: 200, body: '{}' },
+    { kind: 'ask', id: 1, term: 2, since: 5, read: { log: 3, seq: 4 } },
+    { kind: 'ask', id: 1, term: 2, since: undefined, read: undefined },
+    { kind: 'cancellations', id: 1, term: 2, rows: [{ key: 'k', value: {}, stamp: 5 }] },
+    { kind: 'promise', id: 1, term: 2, given: true, informs: { parts: 0, at: { log: 3, seq: 4 } } },
+    { kind: 'promise', id: 1, term: 2, given: false, informs: undefined },
+  ];
+  for (const message of known) assert.deepEqual(decodePeerMessage(unpack(pack(message))), message);
+  const wrong: unknown[] = [
+    ...[
+      undefined,
+      null,
+      'beat',
+      [],
+      {},
+      { kind: 'gossip' },
+      { kind: 'counts' },
+      { kind: 'able', able: 'yes' },
+    ],
+    ...[
+      { kind: 'relay', id: 1 },
+      { kind: 'relay', id: -1, body: '' },
+      { kind: 'relayed', id: 1, body: '' },
+    ],
+    ...[
+      { kind: 'ask', id: 1 },
+      { kind: 'ask', id: 'x', term: 1 },
+      { kind: 'promise', id: 1, term: 1 },
+    ],
+    ...[{ kind: 'cancellations', id: 1, term: 1, rows: [{ key: 'k', stamp: -1 }] }],
+  ];
+  for (const message of wrong) assert.equal(decodePeerMessage(message), undefined, JSON.stringify(message));
+  // A lacking field, or a wrong one, is no proof of knowledge.
+  for (const informs of [undefined, 1, {}, { parts: 1 }, { parts: -1, at: { log: 1, seq: 1 } }, { at: {} }])
+    assert.deepEqual(decodePeerMessage({ kind: 'promise', id: 1, term: 2, given: true, informs }), {
+      kind: 'promise',
+      id: 1,
+      term: 2,
+      given: true,
+      informs: undefined,
+    });
+});
--- a/test/ledger.test.ts
+++ b/test/ledger.test.ts
@@ -200,3 +200,12 @@
     assert.equal(lost / 1000, lostS + 0.1, name);
   }
 });
+
+test('a worker that only answers commands falls silent: it may reach no controller', () => {
+  const { ledger, node, report } = setUp();
+  ledger.take(node, report(1, 1), true, 1_000);
+  assert.equal(node.reportedMs, 1_000);
+  assert.ok(ledger.take(node, report(1, 2), false, 4_000));
+  assert.equal(node.tick, 2);
+  assert.equal(node.reportedMs, 1_000);
+});
