--- a/src/simulation/day.ts
+++ b/src/simulation/day.ts
@@ -103,7 +103,7 @@
   readonly cloud: SimCloud;
   readonly network: SimNetwork;
   readonly random: () => number;
-  private readonly peers: SimPeers;
+  readonly peers: SimPeers;
   private readonly processes = new Map<string, ProcessClock>();
   private readonly finished = new Set<string>();
   private readonly users;
--- a/src/simulation/network.ts
+++ b/src/simulation/network.ts
@@ -158,9 +158,18 @@
   }
 }
 
+function formerly(message: PeerMessage): PeerMessage | undefined {
+  if (message.kind === 'cancellations') return undefined;
+  if (message.kind === 'ask') return { kind: 'ask', id: message.id, term: message.term };
+  if (message.kind !== 'promise') return message;
+  return { kind: 'promise', id: message.id, term: message.term, given: message.given };
+}
+
 /** Messages between controllers over the simulated network. */
 export class SimPeers {
   private readonly listeners = new Map<string, (member: string, message: PeerMessage) => void>();
+  /** Controllers that say only what the version before the passing on of cancellations said. */
+  readonly former = new Set<string>();
 
   constructor(private readonly network: SimNetwork) {}
 
@@ -171,7 +180,8 @@
     });
     return {
       send: (to, message) => {
-        if (isAlive()) this.network.deliver(member, to, () => this.listeners.get(to)?.(member, message));
+        const said = this.former.has(member) ? formerly(message) : message;
+        if (isAlive() && said) this.network.deliver(member, to, () => this.listeners.get(to)?.(member, said));
       },
       refuses: () => false,
       onMessage: (listener) => own.push(listener),
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -68,6 +68,54 @@
   }
 }
 
+/**
+ * Peers of a former version promise without passing anything on, and a leader of one asks for nothing. That is no proof
+ * of knowledge: the leader starts nothing, and stops answering while the rest of the chain still fits into cancel_s.
+ */
+for (const [who, formers] of [
+  ['its peers are', (day: SimDay) => others(day, leaderOf(day))],
+  ['one of its peers is', (day: SimDay) => others(day, leaderOf(day)).slice(1)],
+] as const) {
+  test(`the gap while ${who} of a former version`, async () => {
+    for (const seed of [1, 2]) {
+      const day = new SimDay(seed);
+      calledOff(day, spread(50.1, 51, 8));
+      // Its tasks end one after the other, and the next ones would be started in ignorance.
+      day.at(10, () => day.submit({ tasks: 400, cpus: 1, runS: 3, team: 'red' }));
+      day.at(50, () => {
+        for (const uid of [...day.rules.jobs.keys()].slice(-1)) void day.cancel(uid);
+        for (const member of formers(day)) day.peers.former.add(member);
+        day.state.refused.add(leaderOf(day));
+      });
+      day.at(51, () => day.state.refused.add('*'));
+      day.at(110, () => day.state.endOutage());
+      await day.clock.runUntil(130_000);
+      assert.deepEqual(day.rules.broken, []);
+      assert.deepEqual(day.rules.startedCancelled, []);
+    }
+  });
+}
+
+test('a new leader stops what is over with its first answer, and tells a copy nothing else', async () => {
+  const day = new SimDay(5);
+  day.at(5, () => day.submit({ tasks: 1, runS: 200 }));
+  day.at(5, () => day.submit({ tasks: 1, runS: 200 }, 10));
+  await day.clock.runUntil(40_000);
+  const pieces = ['job-000001/0', 'job-000002/0', 'job-000009/0'].map((piece) => ({
+    piece,
+    try: 3,
+    phase: 'running',
+  }));
+  const report = { hearth: 'vm-999999', address: 'x:1', build: 'm4', yard: 'east', loaner: false };
+  const body = { ...report, tenure: 1, tick: 1, baton: 0, warningS: null, pieces };
+  let answer: { status: number; body: string } | undefined;
+  void day.askOne(leaderOf(day), 'POST', '/v1/report', body).then((r) => (answer = r));
+  await day.clock.runUntil(42_000);
+  assert.equal(answer?.status, 200);
+  const { orders } = JSON.parse(answer!.body) as { orders: unknown[] };
+  assert.deepEqual(orders, [{ verb: 'stop', piece: 'job-000002/0', try: 3, leewayS: 0 }]);
+});
+
 interface Meeting {
   name: string;
   trouble: (day: SimDay) => void;
@@ -102,6 +150,7 @@
   {
     name: 'workers reach no controller while direct commands reach them, with cancellations',
     trouble: (day) => {
+      day.at(6, () => day.submit({ tasks: 16, cpus: 1, runS: 90 }));
       calledOff(day, spread(44, 60, 8));
       day.at(40, () => hostsOf(day, 6).forEach((host) => day.network.silence(host)));
       day.at(52, () => day.crash(leaderOf(day), 2000));
@@ -137,6 +186,7 @@
   {
     name: 'a leader with only its workers and users, while jobs are called off through the new one',
     trouble: (day) => {
+      day.at(6, () => day.submit({ tasks: 16, cpus: 1, runS: 90 }));
       calledOff(day, spread(41, 75, 10));
       day.at(40, () => {
         const leader = leaderOf(day);
@@ -162,13 +212,20 @@
   {
     name: 'a cancellation, a question or a repeat at the end of the last task',
     trouble: (day) => {
+      // Answers of the state service take long enough for a cancellation and a finish to cross.
+      day.at(20, () => (day.state.slowMs = () => day.random() * 150));
+      for (let i = 0; i < 50; i++)
+        day.at(25 + i, () => day.submit({ tasks: 1 + (i % 2), cpus: 1, runS: 2 + (i % 5), spot: true }));
       day.rules.onLastDone.push((uid) => {
         const { job } = day.rules.jobs.get(uid)!;
-        const what = Math.floor(day.random() * 3);
-        if (what === 0) void day.cancel(uid);
-        else if (what === 1) void day.poll(uid);
-        else void day.repeat(job);
-        day.clock.after(day.random() * 400, () => void day.poll(uid));
+        const what = Math.floor(day.random() * 4);
+        // From the moment of the end until its finish is stored.
+        day.clock.after(day.random() * 1_000, () => {
+          if (what < 2) void day.cancel(uid);
+          else if (what === 2) void day.poll(uid);
+          else void day.repeat(job);
+          day.clock.after(day.random() * 400, () => void day.poll(uid));
+        });
       });
     },
     calmS: 60,
@@ -222,6 +279,7 @@
   {
     name: 'commands and their answers are held for seconds while machines hang and go on',
     trouble: (day) => {
+      day.at(6, () => day.submit({ tasks: 16, cpus: 1, runS: 90 }));
       calledOff(day, spread(41, 60, 8));
       [40, 48, 56].forEach((s, i) => {
         day.at(s, () => {
@@ -238,6 +296,7 @@
   {
     name: 'a leader ends while machines with long tasks are cut off or do not hear the new one',
     trouble: (day) => {
+      day.at(6, () => day.submit({ tasks: 16, cpus: 1, runS: 90 }));
       calledOff(day, [46, 47, 60], { runS: 120 });
       day.at(40, () =>
         hostsOf(day, 4).forEach((host) => day.members.forEach((c) => day.network.cut(host, c))),
@@ -273,6 +332,7 @@
   {
     name: 'a zone with workers and controllers cut off for longer than a lease, with cancellations and a crash',
     trouble: (day) => {
+      day.at(6, () => day.submit({ tasks: 16, cpus: 1, runS: 90 }));
       calledOff(day, spread(42, 70, 8));
       day.at(41, () => day.network.cutZones());
       day.at(55, () => day.crash('c1', 1000));
