--- a/src/constants.ts
+++ b/src/constants.ts
@@ -41,6 +41,8 @@
 /** count: most tasks in one job (protocol). */
 export const MAX_TASKS = 100_000;
 
+/** count: names of lists of jobs, of which two tries to submit one job never draw the same. */
+export const SET_NUMBERS = 2 ** 48;
 /** characters: of a malformed submission that are logged. */
 export const LOGGED_BODY = 500;
 
@@ -67,7 +69,7 @@
 export const NODE_RECORD_BYTES = 128;
 /** ms: least time between two writes of one group of machines; those that come up meanwhile go together. */
 export const GROUP_SPACING_MS = 200;
-/** machines: that a deputy registers in one key; far below value_kb. */
+/** machines: that a deputy registers in one key at most; fewer where values are small. */
 export const KEPT_BATCH = 100;
 /** rows: per page when everything is read at start. */
 export const LOAD_PAGE_ROWS = 500;
@@ -79,6 +81,12 @@
 export const STORE_TIMEOUT_MS = 10_000;
 /** ms: without one successful call for this long the state service counts as failing for us. */
 export const STATE_FAILING_MS = 1_200;
+/** ms: before a value that the state service called malformed is sent again. */
+export const MALFORMED_PAUSE_MS = 30_000;
+/** bytes: on the safe side, of one machine's name in a list. */
+export const NODE_NAME_BYTES = 64;
+/** keys: of finished tasks in one write of a job; a large array's finishes need few. */
+export const CHUNKS_PER_WRITE = 4;
 /** tasks: finished tasks kept as one bitmap per key: 8192 bits are 1.4 KB in base64, far below value_kb. */
 export const DONE_CHUNK_TASKS = 8_192;
 
@@ -266,6 +274,8 @@
  * can't hold it up for ever.
  */
 export const LATE_TURN_MS = 90_000;
+/** ms: between the end of a job and the first start of one that waited for it: reports, the write, an image. */
+export const FOLLOW_MS = 4_000;
 /** ms: an undated job takes its turn as if it were due this long after it was accepted. */
 export const UNDATED_TURN_MS = 120_000;
 /** ms: a job of which no task runs after waiting this long counts as guaranteed: the largest must begin in time. */
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -10,10 +10,11 @@
 import { answerWithinMs, Knowledge } from './leadership/knowledge.js';
 import type { PeerChannel } from './leadership/peers.js';
 import { Relay } from './leadership/relay.js';
+import { Dependencies } from './pipeline/dependencies.js';
 import type { Settings } from './settings.js';
 import { StateClient } from './state/client.js';
 import { Mirror } from './state/mirror.js';
-import { PREFIX } from './state/records.js';
+import { isJobKey, jobKey, keyId, PREFIX, storedMember } from './state/records.js';
 import { Writer } from './state/writer.js';
 
 /** What a controller needs of the world; the program gives it sockets, the tests a simulation. */
@@ -37,6 +38,7 @@
   private readonly writer: Writer;
   private readonly election: Election;
   private readonly knowledge: Knowledge;
+  private readonly dependencies: Dependencies;
   private readonly client: StateClient;
   private readonly deputy: Deputy;
   private readonly frontdoor: Frontdoor;
@@ -55,6 +57,13 @@
     ));
     this.mirror = new Mirror(client, PREFIX, clock, log);
     this.knowledge = new Knowledge(answerWithinMs(settings.cancelS, settings.leaseS));
+    const valueOf = (key: string): unknown => this.mirror.get(key)?.value;
+    this.dependencies = new Dependencies((uid) => storedMember(valueOf(jobKey(uid)), valueOf));
+    // Before all others that look at jobs.
+    this.mirror.onChange(({ key, value }) => {
+      const member = isJobKey(key) ? storedMember(value, valueOf) : undefined;
+      if (member) this.dependencies.update(keyId(key), member);
+    });
     this.mirror.onRead((askedMs) => this.knowledge.learned(askedMs));
     this.writer = new Writer(client, this.mirror, clock, log);
     this.election = new Election(
@@ -67,12 +76,13 @@
       clock,
       world.random,
       this.knowledge,
-      settings.state.valueKb,
+      settings.state.valueBytes,
       world.bornMs,
       log,
     );
     this.deputy = new Deputy({
       member: settings.member,
+      valueBytes: settings.state.valueBytes,
       mirror: this.mirror,
       writer: this.writer,
       clock,
@@ -83,6 +93,9 @@
     this.frontdoor = new Frontdoor({
       teams: settings.teams,
       mirror: this.mirror,
+      dependencies: this.dependencies,
+      limits: settings.state,
+      random: world.random,
       writer: this.writer,
       clock,
       log,
@@ -149,6 +162,7 @@
       settings,
       term,
       knowledge: this.knowledge,
+      dependencies: this.dependencies,
       isServed: () => !this.client.failing,
       mirror: this.mirror,
       writer: this.writer,
--- a/src/fleet/node-records.ts
+++ b/src/fleet/node-records.ts
@@ -1,8 +1,9 @@
-import { GROUP_SPACING_MS, NODE_RECORD_BYTES, RENT_MAX } from '../constants.js';
+import { GROUP_SPACING_MS, MALFORMED_PAUSE_MS, NODE_RECORD_BYTES, RENT_MAX } from '../constants.js';
 import type { Condition, Operation } from '../state/client.js';
 import type { Mirror } from '../state/mirror.js';
-import { decodeGroup, encodeGroup, GROUPS, groupKey } from '../state/records.js';
+import { decodeGroup, encodeGroup, GROUPS, groupKey, sizeOf } from '../state/records.js';
 import type { WriteOutcome } from '../state/writer.js';
+import type { WireInt } from '../wire/json.js';
 import type { Ledger, Node, Resources } from './ledger.js';
 
 export interface Group {
@@ -20,7 +21,8 @@
   mirror: Mirror;
   /** Number of the leader's term: names of groups are never used again. */
   term: number;
-  valueKb: number;
+  valueBytes: number;
+  txnOps: number;
   write: (conditions: Condition[], operations: Operation[]) => Promise<WriteOutcome>;
   /** The write of a group has ended; comes back through the leader's mailbox into `onWritten`. */
   written: (end: GroupEnd) => void;
@@ -44,7 +46,7 @@
   private seq = 0;
 
   constructor(private readonly deps: NodeRecordsDeps) {
-    this.most = Math.max(1, Math.min(RENT_MAX, Math.floor((deps.valueKb * 1024) / NODE_RECORD_BYTES)));
+    this.most = Math.max(1, Math.min(RENT_MAX, Math.floor(deps.valueBytes / NODE_RECORD_BYTES)));
   }
 
   /** The machines that earlier terms recorded; true for those that may hold tasks. */
@@ -141,8 +143,65 @@
       group.writing = false;
       return;
     }
+    // Written under larger limits: what no longer fits moves to groups of its own, in the same transaction, so that
+    // no machine ever stands in two groups or in none.
+    if (value !== undefined && members.size > 1 && sizeOf(value) > this.deps.valueBytes)
+      return this.split(group, row?.stamp ?? 0);
     void this.deps
       .write([{ key, stamp: row?.stamp ?? 0 }], [{ key, value }])
-      .then((result) => this.deps.written({ group, used, applied: result.outcome === 'applied' }));
+      .then((result) => this.ended(group, used, result));
+  }
+
+  private ended(group: Group, used: Node[], result: WriteOutcome): void {
+    // What the service calls malformed stays so: it is not sent again and again.
+    if (result.outcome === 'refused' && result.malformed) group.writtenMs += MALFORMED_PAUSE_MS;
+    this.deps.written({ group, used, applied: result.outcome === 'applied' });
+  }
+
+  private split(group: Group, stamp: WireInt): void {
+    const all = [...group.members];
+    const count = Math.min(this.deps.txnOps, Math.ceil(all.length / this.most));
+    const each = Math.ceil(all.length / count);
+    const parts = Array.from({ length: count }, (_, i) => all.slice(i * each, (i + 1) * each));
+    const groups = parts.map((members, i) => {
+      const part = i === 0 ? group : this.newGroup(groupKey(`${this.deps.term}-${++this.seq}`), group);
+      part.writing = true;
+      part.writtenMs = group.writtenMs;
+      if (i === 0) part.members.clear();
+      for (const [node, isUsed] of members) {
+        part.members.set(node, isUsed);
+        this.groups.set(node, part);
+      }
+      return part;
+    });
+    const { type, zone, spot } = group;
+    const operations = groups.map(({ key, members }) => ({
+      key,
+      value: encodeGroup({
+        type,
+        zone,
+        spot,
+        members: new Map(
+          [...members].map(([node, isUsed]) => [node.name, isUsed ? node.address : undefined]),
+        ),
+      }),
+    }));
+    const conditions = groups.map(({ key }, i) => ({ key, stamp: i === 0 ? stamp : 0 }));
+    void this.deps.write(conditions, operations).then((result) => {
+      // Not applied for sure: all stay one group, as the state service still has it, and it is written anew.
+      if (result.outcome !== 'applied') for (const part of groups.slice(1)) this.join(part, group);
+      groups.forEach((part, i) => {
+        const used = parts[i]!.filter(([, isUsed]) => isUsed).map(([node]) => node);
+        if (i === 0 || result.outcome === 'applied') this.ended(part, used, result);
+      });
+    });
+  }
+
+  private join(part: Group, group: Group): void {
+    for (const [node, isUsed] of part.members) {
+      group.members.set(node, isUsed);
+      this.groups.set(node, group);
+    }
+    this.dirty.delete(part);
   }
 }
--- a/src/frontdoor/codec.ts
+++ b/src/frontdoor/codec.ts
@@ -48,6 +48,10 @@
   ['pinS', amount],
   ['pinningS', amount],
   ['dueS', (v) => empty(v) || amount(v)],
+  [
+    'awaits',
+    (v) => empty(v) || (Array.isArray(v) && v.every((uid) => typeof uid === 'string' && isUid(uid))),
+  ],
 ];
 
 /** A job, or the reason for a 400. */
@@ -62,6 +66,7 @@
   const fields: Fields = value;
   const bad = CHECKS.find(([field, valid]) => !valid(fields[field]));
   if (bad) return `${bad[0]} is missing or invalid`;
+  const dependencies = [...new Set((fields.awaits as string[] | null | undefined) ?? [])];
   return {
     uid: fields.uid as string,
     cohort: fields.cohort as string,
@@ -83,6 +88,7 @@
     saveEveryS: fields.pinS as number,
     saveS: fields.pinningS as number,
     dueS: (fields.dueS as number | null | undefined) ?? null,
+    ...(dependencies.length > 0 ? { dependencies } : {}),
   };
 }
 
--- a/src/frontdoor/frontdoor.ts
+++ b/src/frontdoor/frontdoor.ts
@@ -5,11 +5,13 @@
   MAX_USERS_WAITING,
   POLL_ANSWER_MS,
   RETRY_AFTER_S,
+  SET_NUMBERS,
   SUBMIT_ANSWER_MS,
 } from '../constants.js';
 import type { MachineType } from '../cloud/codec.js';
 import { encodeRedirect, readReport, type Report } from '../fleet/codec.js';
 import type { HttpRequest, HttpResponse, Respond } from '../http/message.js';
+import type { Dependencies } from '../pipeline/dependencies.js';
 import type { TeamLimit } from '../placement/rules.js';
 import type { Row } from '../state/client.js';
 import type { Mirror } from '../state/mirror.js';
@@ -17,6 +19,9 @@
   CATALOG_KEY,
   chunkCount,
   decodeJob,
+  dependencyKey,
+  mostBytes,
+  splitList,
   decodeTypes,
   doneKey,
   encodeJob,
@@ -41,6 +46,10 @@
 export interface FrontdoorDeps {
   teams: TeamLimit[];
   mirror: Mirror;
+  dependencies: Pick<Dependencies, 'standing'>;
+  /** Of the state service: bytes of a value, and puts in a transaction. */
+  limits: { valueBytes: number; txnOps: number };
+  random: () => number;
   writer: Writer;
   clock: Clock;
   log: Logger;
@@ -130,7 +139,14 @@
       // An accepted job must never be told 422, whatever has changed since: read before refusing.
       return (await this.isKnown(key)) ? this.known(spec.uid) : problem(422, reason);
     }
-    const record = newRecord(spec, clock.wallMs());
+    const lacking = await this.neverAccepted(spec.dependencies ?? []);
+    if (lacking !== undefined)
+      return mirror.get(key) ? this.known(spec.uid) : problem(422, `${lacking} was never accepted`);
+    const service = (spec.dependencies ?? []).find((uid) => this.isService(uid));
+    if (service !== undefined) return problem(422, `${service} is a service and never done`);
+    const record = await this.storable(newRecord(spec, clock.wallMs()));
+    if (record === 'too long') return problem(422, 'the description is longer than can be kept');
+    if (!record) return RETRY;
     const result = await writer.commitForUser(
       [{ key, stamp: 0 }],
       [{ key, value: encodeJob(record) }],
@@ -145,6 +161,47 @@
     return (await this.isKnown(key)) ? this.known(spec.uid) : RETRY;
   }
 
+  /** The first of these jobs that was never accepted, which only a read that began just now can tell. */
+  private async neverAccepted(uids: readonly string[]): Promise<string | undefined> {
+    const { mirror } = this.deps;
+    const lacks = (uid: string): boolean => mirror.get(jobKey(uid)) === undefined;
+    if (!uids.some(lacks)) return undefined;
+    await mirror.sync();
+    return uids.find(lacks);
+  }
+
+  private isService(uid: string): boolean {
+    return decodeJob(this.deps.mirror.get(jobKey(uid))?.value)?.spec?.kind === 'service';
+  }
+
+  /**
+   * The record in a form that fits the state service's values, also once all its tasks are done: a long list of jobs that
+   * it needs goes to keys of its own first, under a name that no other try uses. Undefined: that could not be written now.
+   */
+  private async storable(record: JobRecord): Promise<JobRecord | 'too long' | undefined> {
+    const { limits, writer, random } = this.deps;
+    if (mostBytes(record) <= limits.valueBytes) return record;
+    const { dependencies, ...rest } = record.spec!;
+    if (!dependencies) return 'too long';
+    const parts = splitList(dependencies, limits.valueBytes);
+    const set = { id: Math.floor(random() * SET_NUMBERS).toString(36), parts: parts.length };
+    const split: JobRecord = { ...record, spec: { ...rest, dependencySet: set } };
+    if (mostBytes(split) > limits.valueBytes) return 'too long';
+    for (let from = 0; from < parts.length; from += limits.txnOps) {
+      const keys = parts.slice(from, from + limits.txnOps).map((value, i) => ({
+        key: dependencyKey(rest.uid, set, from + i),
+        value,
+      }));
+      const result = await writer.commitForUser(
+        keys.map(({ key }) => ({ key, stamp: 0 })),
+        keys,
+        SUBMIT_ANSWER_MS,
+      );
+      if (result.outcome !== 'applied') return undefined;
+    }
+    return split;
+  }
+
   private async isKnown(key: string): Promise<boolean> {
     await this.deps.mirror.sync();
     return this.deps.mirror.get(key) !== undefined;
@@ -195,17 +252,24 @@
     const { mirror } = this.deps;
     const key = jobKey(uid);
     const before = mirror.get(key);
-    const cached = before && decodeJob(before.value);
+    const cached = before && this.decode(uid, before);
     if (cached && cached.phase !== 'open') return { record: cached, row: before };
     await mirror.sync();
     const row = mirror.get(key);
     if (!row) return undefined;
-    const record = decodeJob(row.value);
+    const record = this.decode(uid, row);
     // Something stands there: its job must not be called unknown, nor anything else.
     if (!record) throw new Error(`the value of ${key} is not one of a job`);
     return { record, row };
   }
 
+  /** A job is cancelled if it, or any job that it needs, is: also before that is written for it. */
+  private decode(uid: string, row: Row): JobRecord | undefined {
+    const record = decodeJob(row.value);
+    if (record?.phase !== 'open' || this.deps.dependencies.standing(uid) !== 'cancelled') return record;
+    return { ...record, phase: 'cancelled' };
+  }
+
   private phase(uid: string, record: JobRecord): UserPhase {
     if (record.phase === 'done') return 'done';
     if (record.phase === 'cancelled') return 'withdrawn';
--- a/src/leadership/deputy.ts
+++ b/src/leadership/deputy.ts
@@ -1,7 +1,13 @@
 import type { Logger } from 'pino';
 import { Actor } from '../actor.js';
 import type { Clock } from '../clock.js';
-import { DEPUTY_AFTER_MS, DEPUTY_FRESH_MS, DEPUTY_TICK_MS, KEPT_BATCH } from '../constants.js';
+import {
+  DEPUTY_AFTER_MS,
+  DEPUTY_FRESH_MS,
+  DEPUTY_TICK_MS,
+  KEPT_BATCH,
+  NODE_NAME_BYTES,
+} from '../constants.js';
 import { encodeOrders, type Report } from '../fleet/codec.js';
 import type { Respond } from '../http/message.js';
 import type { Mirror } from '../state/mirror.js';
@@ -12,6 +18,7 @@
 
 export interface DeputyDeps {
   member: string;
+  valueBytes: number;
   mirror: Mirror;
   writer: Writer;
   clock: Clock;
@@ -128,7 +135,8 @@
   private register(): void {
     const leader = this.leader();
     if (this.registering || this.unregistered.length === 0) return;
-    const batch = this.unregistered.splice(0, KEPT_BATCH);
+    const most = Math.min(KEPT_BATCH, Math.floor(this.deps.valueBytes / NODE_NAME_BYTES) - 1);
+    const batch = this.unregistered.splice(0, Math.max(1, most));
     if (!leader) {
       for (const { respond } of batch) respond(NOT_ENTITLED);
       return;
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -121,7 +121,7 @@
     private readonly clock: Clock,
     private readonly random: () => number,
     private readonly knowledge: Knowledge,
-    valueKb: number,
+    valueBytes: number,
     /** Steady ms at which this process began. */
     bornMs: number,
     log: Logger,
@@ -133,7 +133,7 @@
     this.promisedUntilMs = peers.length > 0 ? bornMs + GRANT_MS * (1 + CLOCK_DRIFT) + GRANT_MARGIN_MS : now;
     this.nextStandMs = this.promisedUntilMs + this.standDelayMs();
     this.cancellations = new CancellationLog(Math.floor(random() * LOG_NUMBERS));
-    this.rowsPerMessage = Math.max(1, Math.floor(PEER_FRAME_BYTES / 4 / (valueKb * 1024 + ROW_EXTRA_BYTES)));
+    this.rowsPerMessage = Math.max(1, Math.floor(PEER_FRAME_BYTES / 4 / (valueBytes + ROW_EXTRA_BYTES)));
     mirror.onChange((change) => {
       if (isJobKey(change.key) && isCancelled(change.value))
         this.cancellations.note(change.key, change.stamp);
--- a/src/leadership/job-store.ts
+++ b/src/leadership/job-store.ts
@@ -1,7 +1,8 @@
 import type { Logger } from 'pino';
-import { STORE_TIMEOUT_MS } from '../constants.js';
+import { CHUNKS_PER_WRITE, MALFORMED_PAUSE_MS, STORE_TIMEOUT_MS } from '../constants.js';
 import { Job } from '../pipeline/job.js';
 import { RunTimes } from '../pipeline/run-times.js';
+import { passUrgency } from '../pipeline/urgency.js';
 import type { Objective } from '../pipeline/job-pipeline.js';
 import type { Condition, Operation } from '../state/client.js';
 import type { Mirror } from '../state/mirror.js';
@@ -10,6 +11,7 @@
   LEADER_KEY,
   chunkCount,
   decodeJob,
+  dependenciesOf,
   doneKey,
   encodeDone,
   encodeJob,
@@ -25,6 +27,8 @@
   mirror: Mirror;
   writer: Writer;
   objectives: Objective[];
+  /** Most puts in one transaction. */
+  txnOps: number;
   wallMs: () => number;
   log: Logger;
   /** A write of a job has ended; comes back through the leader's mailbox into `onStored`. */
@@ -49,6 +53,8 @@
 
   constructor(private readonly deps: JobStoreDeps) {
     for (const row of deps.mirror.startingWith(JOBS)) this.take(row.key, row.value, row.stamp);
+    // In whatever order they came: only now is every job there that another one needs.
+    for (const job of this.jobs.values()) passUrgency(job, (name) => this.jobs.get(name));
   }
 
   /** Every write of a term stands under the condition that the term goes on. */
@@ -65,9 +71,11 @@
     if (!job) {
       // Of a cancelled job with its description still there, tasks may be left on machines.
       if (!record.spec || record.phase === 'done') return;
-      job = new Job(uid, record, stamp, this.deps.objectives, this.runTimes);
+      const dependencies = dependenciesOf(record.spec, (k) => this.deps.mirror.get(k)?.value) ?? [];
+      job = new Job(uid, record, stamp, this.deps.objectives, this.runTimes, dependencies);
       this.takeChunks(job);
       this.jobs.set(uid, job);
+      passUrgency(job, (name) => this.jobs.get(name));
       return;
     }
     this.takeChunks(job);
@@ -75,11 +83,23 @@
     job.stamp = stamp;
     job.stored = record;
     job.learnDone(0, record.done);
-    if (record.phase === 'cancelled' && job.phase !== 'cancelled') {
-      job.phase = 'cancelled';
-      this.deps.log.info({ job: uid }, 'job cancelled');
-      this.deps.cancelled(job);
-    }
+    if (record.phase === 'cancelled') this.cancel(job);
+  }
+
+  /** Its user called it, or a job before it, off. */
+  cancel(job: Job): void {
+    if (job.phase === 'cancelled') return;
+    job.phase = 'cancelled';
+    this.deps.log.info({ job: job.uid }, 'job cancelled');
+    this.deps.cancelled(job);
+  }
+
+  /** Wall ms at which the last of the jobs that a job needs was done, as far as their values say. */
+  releasedMs(job: Job): number {
+    const ends = job.dependencies.map(
+      (uid) => decodeJob(this.deps.mirror.get(jobKey(uid))?.value)?.finishedMs ?? 0,
+    );
+    return ends.reduce((last, end) => Math.max(last, end), job.acceptedMs);
   }
 
   /** A write without an answer may have been carried out late: then its chunks have stamps that we don't know yet. */
@@ -94,11 +114,11 @@
 
   /** Writes what changed of a job; one write at a time for each. */
   store(job: Job): void {
-    if (job.writing || !job.needsWrite) return;
+    if (job.writing || !job.needsWrite || this.deps.wallMs() < job.storeNotBeforeMs) return;
     job.writing = true;
     // Few chunks at a time, so that a write fits the service's limits.
     const chunks = [...job.dirtyChunks]
-      .slice(0, 4)
+      .slice(0, Math.min(CHUNKS_PER_WRITE, this.deps.txnOps - 1))
       .map((c): [number, string] => [c, encodeDone(job.done, c)]);
     const partial = chunks.length < job.dirtyChunks.size;
     const record = job.record();
@@ -129,6 +149,11 @@
       return;
     }
     for (const [chunk] of chunks) job.dirtyChunks.add(chunk);
+    // What the service calls malformed stays so: it is not sent again and again.
+    if (result.outcome === 'refused' && result.malformed) {
+      job.storeNotBeforeMs = this.deps.wallMs() + MALFORMED_PAUSE_MS;
+      this.deps.log.error({ job: job.uid }, 'the state service takes the value of a job for malformed');
+    }
     // Changed by another (a cancellation), or not known: what stands there decides.
     this.deps.reread(jobKey(job.uid));
   }
--- a/src/leadership/leader.ts
+++ b/src/leadership/leader.ts
@@ -27,6 +27,7 @@
 import { Ledger, attemptKey, type Attempt, type Node } from '../fleet/ledger.js';
 import { NodeRecords, type GroupEnd } from '../fleet/node-records.js';
 import { CallError, type HttpCaller, type Respond } from '../http/message.js';
+import type { Dependencies } from '../pipeline/dependencies.js';
 import type { Job } from '../pipeline/job.js';
 import { byRelease, withinGuarantee } from '../placement/order.js';
 import { Placer } from '../placement/placer.js';
@@ -56,6 +57,7 @@
   settings: Settings;
   term: Term;
   knowledge: Knowledge;
+  dependencies: Pick<Dependencies, 'standing'>;
   /** Whether the state service answered our last call. */
   isServed: () => boolean;
   mirror: Mirror;
@@ -149,6 +151,7 @@
       mirror: deps.mirror,
       writer: deps.writer,
       objectives: settings.objectives,
+      txnOps: settings.state.txnOps,
       wallMs: () => clock.wallMs(),
       log: deps.log,
       stored: (end) => this.send({ kind: 'stored', ...end }),
@@ -196,7 +199,8 @@
     this.records = new NodeRecords({
       mirror: deps.mirror,
       term: deps.term.number,
-      valueKb: settings.state.valueKb,
+      valueBytes: settings.state.valueBytes,
+      txnOps: settings.state.txnOps,
       write: (conditions, operations) => this.store.write(conditions, operations),
       written: (end) => this.send({ kind: 'recorded', end }),
     });
@@ -469,6 +473,7 @@
     const { job, node } = attempt;
     if (!job || !job.isOpen || !job.released || !node.recorded || !node.current || node.returning)
       return false;
+    if (job.isDependent && this.deps.dependencies.standing(job.uid) !== 'free') return false;
     if (!this.deps.knowledge.mayStart(this.now(), this.deps.isServed())) return false;
     return this.recovered || !job.inherited;
   }
@@ -655,6 +660,7 @@
     this.checkNodes(now);
     const open: Job[] = [];
     for (const job of this.store.jobs.values()) {
+      if (this.waits(job)) continue;
       const ended = this.checkJob(job);
       if (!ended && job.isOpen) open.push(job);
     }
@@ -770,11 +776,24 @@
     }
   }
 
+  /** Whether jobs that it needs are not done yet: then it takes no part in anything. */
+  private waits(job: Job): boolean {
+    if (!job.isDependent || !job.isOpen) return false;
+    const standing = this.deps.dependencies.standing(job.uid);
+    if (standing === 'cancelled') this.store.cancel(job);
+    if (standing === 'free' && Number.isNaN(job.releasedMs)) {
+      job.releasedMs = this.store.releasedMs(job);
+      this.log.debug({ job: job.uid }, 'job released');
+    }
+    return standing === 'waiting';
+  }
+
   /** True when the job is over and nothing of it is left. */
   private checkJob(job: Job): boolean {
     if (job.isOpen) {
       const ageS = (this.deps.clock.wallMs() - job.stored.acceptedMs) / 1000;
       const end = job.settle(ageS);
+      if (end === 'acceptable') job.finishedMs = this.deps.clock.wallMs();
       if (end === 'expired') this.log.info({ job: job.uid }, 'pipeline expired, successor adopts its tasks');
       if (end === 'acceptable') for (const attempt of job.bound.values()) this.wantStop(attempt, 0);
       if (job.isOpen) return false;
--- a/src/pipeline/job.ts
+++ b/src/pipeline/job.ts
@@ -2,6 +2,7 @@
   DONE_CHUNK_TASKS,
   ERROR_BACKOFF_MAX_MS,
   ERROR_BACKOFF_MS,
+  FOLLOW_MS,
   HOPE_SHARE,
   RAN_MARGIN,
 } from '../constants.js';
@@ -15,6 +16,7 @@
   type Rank,
 } from '../state/records.js';
 import { RunTimes } from './run-times.js';
+import { mostUrgent, type Urgency } from './urgency.js';
 import { TaskSet } from '../state/task-set.js';
 import type { WireInt } from '../wire/json.js';
 import { ANY, SPOT, pipelineOf, type Objective } from './job-pipeline.js';
@@ -52,6 +54,8 @@
   readonly bound = new Map<number, Attempt>();
   readonly zones = new Map<string, number>();
   writing = false;
+  /** Wall ms before which it is not written again. */
+  storeNotBeforeMs = -Infinity;
   /** E stood in the state service before this term: its tasks may be on machines not yet accounted for. */
   inherited: boolean;
   /** Steady ms since when a task of it waits for room; NaN while none does. */
@@ -68,6 +72,15 @@
   readonly failedOn = new Set<string>();
   private cursor = 0;
   private pipeline: Pipeline;
+  /** Jobs that must be done before any task of it starts. */
+  readonly dependencies: readonly string[];
+  /** Its own urgency as it was submitted, and what the jobs after it pass on (urgency.ts). */
+  readonly own: Urgency;
+  passedOn: Urgency | undefined;
+  /** Wall ms at which the last job that it needs was done; NaN while that is not so. */
+  releasedMs = NaN;
+  /** Wall ms at which it was done. */
+  finishedMs: number | undefined;
 
   constructor(
     uid: string,
@@ -75,6 +88,7 @@
     stamp: WireInt,
     private readonly objectives: Objective[],
     private readonly runTimes: RunTimes = new RunTimes(),
+    dependencies: readonly string[] = [],
   ) {
     this.uid = uid;
     this.spec = record.spec!;
@@ -84,14 +98,43 @@
     this.successor = record.successor;
     this.tuple = record.tuple;
     this.pipeline = pipelineOf(this.spec, objectives, record.successor);
+    this.dependencies = dependencies;
+    const steps = pipelineOf(this.spec, objectives, false).value;
+    this.own = {
+      rank: this.spec.rank,
+      dueMs: steps.map((step) => record.acceptedMs + step.untilS * 1000),
+    };
     this.done = new TaskSet(this.spec.tasks);
     this.storedDone = new TaskSet(this.spec.tasks);
     this.inherited = record.tuple.includes('E');
     this.learnDone(0, record.done);
   }
 
+  /** Whether it has to wait for other jobs; so also where their list can't be read. */
+  get isDependent(): boolean {
+    return this.dependencies.length > 0 || this.spec.dependencySet !== undefined;
+  }
+
+  /** The most urgent rank among itself and the jobs that need it. */
   get rank(): Rank {
-    return this.spec.rank;
+    return this.passedOn ? mostUrgent(this.own, this.passedOn).rank : this.spec.rank;
+  }
+
+  /** Ms from when all before it is done until it is, as expected. */
+  get followMs(): number {
+    return this.expectedS * 1000 + FOLLOW_MS;
+  }
+
+  /** Wall ms since when it may run: accepted, and all before it done. */
+  get queuedMs(): number {
+    return Number.isNaN(this.releasedMs) ? this.acceptedMs : this.releasedMs;
+  }
+
+  /** Wall ms of the first deadline that it, or a job that needs it, was given; Infinity: there is none. */
+  get firstDueMs(): number {
+    const { dueS } = this.spec;
+    const own = dueS === null ? Infinity : this.acceptedMs + dueS * 1000;
+    return Math.min(own, this.passedOn?.dueMs[0] ?? Infinity);
   }
 
   get isService(): boolean {
@@ -121,11 +164,9 @@
    */
   dueMs(wallMs: number): number {
     const neededMs = this.pending > 0 ? this.spec.guessS * 1000 * HOPE_SHARE : 0;
-    for (const step of this.pipeline.value) {
-      const endMs = this.stored.acceptedMs + step.untilS * 1000;
-      if (wallMs + neededMs <= endMs) return endMs;
-    }
-    return Infinity;
+    const own = this.pipeline.value.map((step) => this.stored.acceptedMs + step.untilS * 1000);
+    const steps = this.passedOn ? mostUrgent({ rank: this.rank, dueMs: own }, this.passedOn).dueMs : own;
+    return steps.find((endMs) => wallMs + neededMs <= endMs) ?? Infinity;
   }
 
   learnDone(chunk: number, text: string): void {
@@ -266,6 +307,7 @@
       tuple: this.tuple,
       successor: this.successor,
       done: encodeDone(this.done, 0),
+      ...(this.finishedMs === undefined ? {} : { finishedMs: this.finishedMs }),
     };
   }
 
--- a/src/pipeline/pipeline.ts
+++ b/src/pipeline/pipeline.ts
@@ -106,8 +106,13 @@
   return undefined;
 }
 
+const places = new WeakMap<Pipeline, Map<string, number>>();
+
+/** Looked up once per pipeline: members may be thousands. */
 function indexOf(pipeline: Pipeline, member: string): number {
-  const at = pipeline.members.findIndex((candidate) => candidate.name === member);
-  if (at < 0) throw new Error(`no member ${member}`);
+  let known = places.get(pipeline);
+  if (!known) places.set(pipeline, (known = new Map(pipeline.members.map(({ name }, at) => [name, at]))));
+  const at = known.get(member);
+  if (at === undefined) throw new Error(`no member ${member}`);
   return at;
 }
--- a/src/placement/order.ts
+++ b/src/placement/order.ts
@@ -1,11 +1,16 @@
 import { EPSILON, LATE_TURN_MS, UNDATED_TURN_MS } from '../constants.js';
-import { RANKS, type JobSpec } from '../state/records.js';
+import { RANKS, type JobSpec, type Rank } from '../state/records.js';
 import type { TeamLimit } from './rules.js';
 
 /** What the order of release looks at. */
 export interface Waiting {
   readonly spec: JobSpec;
-  readonly acceptedMs: number;
+  /** Its own rank, or that of a job that needs it. */
+  readonly rank: Rank;
+  /** Wall ms since when it may run. */
+  readonly queuedMs: number;
+  /** Wall ms of the first deadline of it or of a job that needs it; Infinity: there is none. */
+  readonly firstDueMs: number;
   readonly unfinished: number;
 }
 
@@ -21,7 +26,7 @@
     [...limits.values()].map((l) => [l.name, { cpus: l.cpus, accelerators: l.accelerators }]),
   );
   const within = new Set<T>();
-  for (const job of [...jobs].sort((a, b) => a.acceptedMs - b.acceptedMs)) {
+  for (const job of [...jobs].sort((a, b) => a.queuedMs - b.queuedMs)) {
     const team = left.get(job.spec.team);
     if (!team) continue;
     team.cpus -= job.unfinished * job.spec.cpus;
@@ -38,8 +43,7 @@
  */
 function turnMs(job: Waiting, dueMs: number): number {
   if (dueMs < Infinity) return dueMs;
-  const { dueS } = job.spec;
-  return job.acceptedMs + (dueS === null ? UNDATED_TURN_MS : dueS * 1000 + LATE_TURN_MS);
+  return job.firstDueMs < Infinity ? job.firstDueMs + LATE_TURN_MS : job.queuedMs + UNDATED_TURN_MS;
 }
 
 /**
@@ -51,11 +55,11 @@
   starves: (job: T) => boolean,
   dueMs: (job: T) => number,
 ): (a: T, b: T) => number {
-  const late = (job: T): boolean => job.spec.dueS !== null && dueMs(job) === Infinity;
+  const late = (job: T): boolean => job.firstDueMs < Infinity && dueMs(job) === Infinity;
   const first = (job: T): boolean => (within.has(job) && !late(job)) || starves(job);
   return (a, b) =>
-    RANKS.indexOf(a.spec.rank) - RANKS.indexOf(b.spec.rank) ||
+    RANKS.indexOf(a.rank) - RANKS.indexOf(b.rank) ||
     Number(first(b)) - Number(first(a)) ||
     turnMs(a, dueMs(a)) - turnMs(b, dueMs(b)) ||
-    a.acceptedMs - b.acceptedMs;
+    a.queuedMs - b.queuedMs;
 }
--- a/src/placement/renter.ts
+++ b/src/placement/renter.ts
@@ -110,7 +110,7 @@
   private startLeftS(job: Job): number {
     const objective = this.deps.startObjectives.find(({ cohort }) => cohort === job.spec.cohort);
     if (!objective) return Infinity;
-    const leftS = objective.withinS - (this.deps.wallMs() - job.acceptedMs) / 1000;
+    const leftS = objective.withinS - (this.deps.wallMs() - job.queuedMs) / 1000;
     return leftS > 0 ? leftS : Infinity;
   }
 
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -24,7 +24,8 @@
   reportS: number;
   leaseS: number;
   cancelS: number;
-  state: { rps: number; writesPerS: number; valueKb: number; txnOps: number };
+  /** The tighter of the limits of now and of those announced: what is written must fit both. */
+  state: { rps: number; writesPerS: number; valueBytes: number; txnOps: number };
   cloud: { rps: number; listLagS: number };
   maxConnections: number;
   operator: OperatorSettings;
@@ -39,6 +40,13 @@
 /** A settings file that can't be used; the message is one line for the operator. */
 export class SettingsError extends Error {}
 
+interface StateLimitsFile {
+  rps: number;
+  write_rps: number;
+  value_kb: number;
+  txn_ops: number;
+}
+
 interface PlatformFile {
   member: string;
   domain: string;
@@ -52,7 +60,7 @@
     teams?: { name: string; cpus: number; cpus_max: number; gpus: number; gpus_max: number }[];
     objectives?: { kind: string; class?: string; share?: number; times?: number; within_s?: number }[];
     workers: { report_s: number; lease_s: number; cancel_s: number };
-    state: { rps: number; write_rps: number; value_kb: number; txn_ops: number };
+    state: StateLimitsFile & { next?: Partial<StateLimitsFile> };
     cloud: { rps: number; list_lag_s: number };
     quota: { max_connections: number };
   };
@@ -88,6 +96,8 @@
   const own = operatorPath === undefined ? {} : parsed(operatorPath, JSON.parse);
   const operator = check<OperatorSettings>(operatorSchema, own, operatorPath ?? 'operator settings');
   const d = file.deployment;
+  const tighter = (limit: keyof StateLimitsFile): number =>
+    Math.min(d.state[limit], d.state.next?.[limit] ?? Infinity);
   return {
     member: file.member,
     zone: file.domain,
@@ -117,10 +127,10 @@
     leaseS: d.workers.lease_s,
     cancelS: d.workers.cancel_s,
     state: {
-      rps: d.state.rps,
-      writesPerS: d.state.write_rps,
-      valueKb: d.state.value_kb,
-      txnOps: d.state.txn_ops,
+      rps: tighter('rps'),
+      writesPerS: tighter('write_rps'),
+      valueBytes: Math.floor(tighter('value_kb') * 1024),
+      txnOps: tighter('txn_ops'),
     },
     cloud: { rps: d.cloud.rps, listLagS: d.cloud.list_lag_s },
     maxConnections: d.quota.max_connections,
--- a/src/simulation/day.ts
+++ b/src/simulation/day.ts
@@ -26,11 +26,13 @@
   scale: number;
   /** Zones that have machines. */
   machineZones?: string[];
+  /** Limits that are announced for the state service. */
+  next?: { valueBytes: number; txnOps: number };
 }
 
 const MACHINE = { sku: 'm4', cpus: 4, memGb: 16, bootS: 8, price: 0.2 };
 
-const SMALL: DayOptions = { controllers: 3, machines: 24, scale: 1 };
+export const SMALL: DayOptions = { controllers: 3, machines: 24, scale: 1 };
 
 const membersOf = (options: DayOptions): string[] =>
   Array.from({ length: options.controllers }, (_, i) => `c${i}`);
@@ -75,7 +77,7 @@
     reportS: REPORT_S,
     leaseS: LEASE_S,
     cancelS: CANCEL_S,
-    state: { rps: 200, writesPerS: 80, valueKb: 8, txnOps: 12 },
+    state: { rps: 200, writesPerS: 80, ...(options.next ?? { valueBytes: 8192, txnOps: 12 }) },
     cloud: { rps: 6, listLagS: 0 },
     maxConnections: 900,
     operator: { idleKeepS: 45, useSpot: true },
@@ -93,6 +95,7 @@
   zone: null,
   runS: 20,
   dueS: null,
+  dependencies: [],
 };
 
 /** A whole deployment in one process, on simulated time: three controllers and stand-ins for everything else. */
@@ -220,18 +223,22 @@
 
   /** Submits a job, polls it to its end, and cancels it after `cancelS` if that is given. */
   submit(fields: Partial<SimJob>, cancelS?: number): SimJob {
-    const job: SimJob = {
-      uid: `job-${String(++this.jobs).padStart(6, '0')}`,
-      ...DEFAULTS,
-      ...fields,
-    };
-    this.rules.add(job);
+    const job = this.expect(fields);
     void this.user(job, cancelS);
     return job;
   }
 
+  /** A job that the test itself submits. */
+  expect(fields: Partial<SimJob>): SimJob {
+    const uid = `job-${String(++this.jobs).padStart(6, '0')}`;
+    const job: SimJob = { uid, ...DEFAULTS, ...fields };
+    this.rules.add(job);
+    return job;
+  }
+
   /** Its user calls a job off now, and repeats that until it is answered. */
   async cancel(uid: string): Promise<void> {
+    this.rules.calledOff(uid);
     for (;;) {
       if (this.heard(uid, await this.ask('POST', `/submissions/${uid}/abort`))) return;
       await this.pause(1000);
@@ -297,6 +304,7 @@
     const cancelAtMs = cancelS === undefined ? Infinity : this.clock.steadyMs() + cancelS * 1000;
     for (;;) {
       const cancel = this.clock.steadyMs() >= cancelAtMs;
+      if (cancel) this.rules.calledOff(job.uid);
       const path = `/submissions/${job.uid}`;
       const response = cancel ? await this.ask('POST', `${path}/abort`) : await this.ask('GET', path);
       const phase = this.heard(job.uid, response);
@@ -328,6 +336,7 @@
       pinS: 0,
       pinningS: 0,
       dueS: job.dueS,
+      ...(job.dependencies.length > 0 ? { awaits: job.dependencies } : {}),
     };
   }
 }
--- a/src/simulation/rules.ts
+++ b/src/simulation/rules.ts
@@ -12,12 +12,15 @@
   zone: string | null;
   runS: number;
   dueS: number | null;
+  /** Jobs that must be done before any task of it starts. */
+  dependencies: string[];
 }
 
 interface Seen {
   job: SimJob;
   accepted: boolean;
   told: 'open' | 'done' | 'withdrawn';
+  calledOff: boolean;
   cancelledMs: number;
   done: Set<number>;
   submittedMs: number;
@@ -60,6 +63,7 @@
       job,
       accepted: false,
       told: 'open',
+      calledOff: false,
       cancelledMs: Infinity,
       done: new Set(),
       submittedMs: this.nowMs(),
@@ -79,6 +83,8 @@
     const other = seen.on.get(task);
     if (other) this.broke(`ran_twice: ${uid}/${task} on ${other.node} and ${place.node}`);
     if (place.spot && !job.spot) this.broke(`wrong_place: ${uid}/${task} on spot`);
+    const undone = job.dependencies.find((before) => !this.isDone(before));
+    if (undone !== undefined) this.broke(`too_early: ${uid}/${task} before ${undone}`);
     const elsewhere = [...seen.on.values()].some((p) => p.zone !== place.zone);
     if ((job.oneZone && elsewhere) || (job.zone !== null && job.zone !== place.zone))
       this.broke(`wrong_place: ${uid}/${task} in ${place.zone}`);
@@ -96,6 +102,28 @@
     if (used > (this.limits.get(job.team) ?? 0) + 1e-6) this.broke(`quota: ${job.team} uses ${used}`);
   }
 
+  /** Its user asked for its cancellation, or for that of a job that it needs. */
+  calledOff(uid: string): void {
+    this.jobs.get(uid)!.calledOff = true;
+  }
+
+  private isCalledOff(uid: string): boolean {
+    const seen = this.jobs.get(uid);
+    return seen !== undefined && (seen.calledOff || seen.job.dependencies.some((b) => this.isCalledOff(b)));
+  }
+
+  private isDone(uid: string): boolean {
+    const seen = this.jobs.get(uid)!;
+    return seen.done.size === seen.job.tasks;
+  }
+
+  /** When a user was first told that a job, or one that it needs, is cancelled. */
+  private cancelledMs(uid: string): number {
+    const seen = this.jobs.get(uid);
+    if (!seen) return Infinity;
+    return Math.min(seen.cancelledMs, ...seen.job.dependencies.map((before) => this.cancelledMs(before)));
+  }
+
   end(uid: string, task: number, node: string, done: boolean): void {
     const seen = this.jobs.get(uid)!;
     if (seen.on.get(task)?.node === node) seen.on.delete(task);
@@ -121,6 +149,12 @@
     if (status !== 200) return;
     seen.answeredMs = this.nowMs();
     if (seen.told !== 'open' && phase !== seen.told) this.broke(`went_back: ${uid} ${seen.told} to ${phase}`);
+    if (
+      (phase === 'pending' || phase === 'running') &&
+      this.nowMs() > this.cancelledMs(uid) + this.cancelS * 1000
+    )
+      this.broke(`orphaned: ${uid} is ${phase}`);
+    if (phase === 'withdrawn' && !this.isCalledOff(uid)) this.broke(`went_back: ${uid} withdrawn by nobody`);
     if (phase === 'done') {
       if (seen.done.size < seen.job.tasks) this.broke(`not_done: ${uid} has ${seen.done.size}`);
       seen.told = 'done';
@@ -198,8 +232,10 @@
           !(job.oneZone && seen.on.size > this.inZone(seen, m.zone)) &&
           !(job.scatter && this.inZone(seen, m.zone) >= Math.ceil(job.tasks / 2)),
       );
+      const free = job.dependencies.every((before) => this.isDone(before));
       const under = (teams.get(job.team) ?? 0) + job.cpus <= (this.limits.get(job.team) ?? 0);
-      const waits = seen.accepted && seen.told === 'open' && left > 0 && fits && under && now >= calmMs;
+      const waits =
+        seen.accepted && seen.told === 'open' && left > 0 && free && fits && under && now >= calmMs;
       if (!waits) seen.waitsSinceMs = Infinity;
       else seen.waitsSinceMs = Math.min(seen.waitsSinceMs, now);
       if (now - seen.waitsSinceMs <= 90_000) continue;
--- a/src/simulation/state-service.ts
+++ b/src/simulation/state-service.ts
@@ -29,6 +29,10 @@
   lateShare = 0;
   /** Ms by which answers come late, drawn for each; undefined: at once. */
   slowMs: (() => number) | undefined;
+  /** What one value and one transaction may hold; more gets 400. */
+  limits = { valueBytes: 8192, txnOps: 12 };
+  /** Transactions that got 400 for that. */
+  malformed = 0;
   /** Requests, and puts and deletes, by the second in which they came. */
   readonly requests: number[] = [];
   readonly writes: number[] = [];
@@ -137,6 +141,12 @@
     apply?: { put?: string; drop?: string; v?: unknown; hold?: number }[];
   }): HttpResponse {
     const operations = txn.apply ?? [];
+    const tooLarge = operations.some((o) => JSON.stringify(o.v ?? null).length > this.limits.valueBytes);
+    const tooMany = operations.length > this.limits.txnOps || (txn.if ?? []).length > this.limits.txnOps * 4;
+    if (tooLarge || tooMany || JSON.stringify(txn).length > 65_536) {
+      this.malformed++;
+      return json(400, { error: 'too large' });
+    }
     const second = Math.floor(this.clock.steadyMs() / 1000);
     this.writes[second] = (this.writes[second] ?? 0) + operations.length;
     if (operations.some((o) => o.hold !== undefined && !this.leases.has(o.hold)))
--- a/src/state/records.ts
+++ b/src/state/records.ts
@@ -1,6 +1,6 @@
 import { DONE_CHUNK_TASKS } from '../constants.js';
 import type { MachineType } from '../cloud/codec.js';
-import { isObject } from '../wire/json.js';
+import { formatJson, isObject } from '../wire/json.js';
 import { TaskSet } from './task-set.js';
 
 /** Names and forms of what we keep in the state service; the only module that knows them. */
@@ -11,9 +11,12 @@
 export const LOSSES_KEY = 'ph/losses';
 const JOB_PREFIX = 'ph/j/';
 const DONE_PREFIX = 'ph/d/';
+const DEPENDENCY_PREFIX = 'ph/w/';
 
 export const jobKey = (uid: string): string => JOB_PREFIX + uid;
 export const doneKey = (uid: string, chunk: number): string => `${DONE_PREFIX}${uid}/${chunk}`;
+export const dependencyKey = (uid: string, set: DependencySet, part: number): string =>
+  `${DEPENDENCY_PREFIX}${uid}/${set.id}-${part}`;
 /** Machines are recorded in groups that were rented together, so that hundreds take a few writes. */
 export const GROUPS = 'ph/g/';
 export const groupKey = (name: string): string => GROUPS + name;
@@ -49,6 +52,16 @@
   saveEveryS: number;
   saveS: number;
   dueS: number | null;
+  /** Jobs that must be done before any task of this one starts; none: left out. */
+  dependencies?: readonly string[];
+  /** Where they stand if they don't fit into the job's own value. */
+  dependencySet?: DependencySet;
+}
+
+/** A list of jobs in keys of its own, written before the job that names it. */
+export interface DependencySet {
+  id: string;
+  parts: number;
 }
 
 export type Phase = 'open' | 'done' | 'cancelled';
@@ -67,20 +80,29 @@
   successor: boolean;
   /** The finished tasks among the first DONE_CHUNK_TASKS. */
   done: string;
+  /** Wall ms at which it was done; a former version did not say. */
+  finishedMs?: number;
 }
 
 const PHASE_LETTER: Record<Phase, string> = { open: 'o', done: 'd', cancelled: 'c' };
 
 export function encodeJob(record: JobRecord): unknown {
   const base = { p: PHASE_LETTER[record.phase], n: record.tasks, t: record.acceptedMs };
-  if (!record.spec) return { ...base, x: record.tuple };
-  return { ...base, x: record.tuple, u: record.successor ? 1 : 0, d: record.done, s: record.spec };
+  const end = record.finishedMs === undefined ? {} : { f: record.finishedMs };
+  if (!record.spec) return { ...base, ...end, x: record.tuple };
+  return { ...base, ...end, x: record.tuple, u: record.successor ? 1 : 0, d: record.done, s: record.spec };
 }
 
 const PHASES = Object.keys(PHASE_LETTER) as Phase[];
 
 const isCount = (value: unknown): value is number => Number.isSafeInteger(value) && (value as number) > 0;
 
+const isTexts = (value: unknown): value is string[] =>
+  Array.isArray(value) && value.every((text) => typeof text === 'string');
+
+const isSet = (value: unknown): boolean =>
+  isObject(value) && typeof value.id === 'string' && isCount(value.parts);
+
 function isSpec(value: unknown): value is JobSpec & Record<string, unknown> {
   if (!isObject(value)) return false;
   const { types, zone, dueS } = value;
@@ -97,9 +119,11 @@
     (value.kind === 'array' || value.kind === 'service') &&
     RANKS.some((rank) => rank === value.rank) &&
     isCount(value.tasks) &&
-    (types === null || (Array.isArray(types) && types.every((type) => typeof type === 'string'))) &&
+    (types === null || isTexts(types)) &&
     (zone === null || typeof zone === 'string') &&
-    (dueS === null || typeof dueS === 'number')
+    (dueS === null || typeof dueS === 'number') &&
+    (value.dependencies === undefined || isTexts(value.dependencies)) &&
+    (value.dependencySet === undefined || isSet(value.dependencySet))
   );
 }
 
@@ -121,9 +145,58 @@
     tuple,
     successor: value.u === 1,
     done: typeof value.d === 'string' ? value.d : '',
+    ...(typeof value.f === 'number' ? { finishedMs: value.f } : {}),
   };
 }
 
+/** The jobs that a job needs; undefined when a part of the list can't be read. */
+export function dependenciesOf(
+  spec: JobSpec,
+  valueOf: (key: string) => unknown,
+): readonly string[] | undefined {
+  const { uid, dependencySet } = spec;
+  if (!dependencySet) return spec.dependencies ?? [];
+  const parts = Array.from({ length: dependencySet.parts }, (_, part) =>
+    valueOf(dependencyKey(uid, dependencySet, part)),
+  );
+  return parts.every(isTexts) ? parts.flat() : undefined;
+}
+
+/** A job's value as its pipeline sees it; undefined when it is none. */
+export function storedMember(
+  value: unknown,
+  valueOf: (key: string) => unknown,
+): { phase: Phase; dependencies: readonly string[] | undefined } | undefined {
+  const record = decodeJob(value);
+  if (!record) return undefined;
+  return { phase: record.phase, dependencies: record.spec ? dependenciesOf(record.spec, valueOf) : [] };
+}
+
+/** Bytes that a value takes in the state service. */
+export const sizeOf = (value: unknown): number => Buffer.byteLength(formatJson(value));
+
+/** Bytes that a job's value takes at most, however many of its tasks are done. */
+export function mostBytes(record: JobRecord): number {
+  const bitmap = Math.ceil(Math.min(record.tasks, DONE_CHUNK_TASKS) / 8 / 3) * 4;
+  return sizeOf(encodeJob({ ...record, done: '', finishedMs: record.acceptedMs })) + bitmap;
+}
+
+/** Splits a list so that each part fits into a value. */
+export function splitList(list: readonly string[], valueBytes: number): string[][] {
+  const parts: string[][] = [];
+  let bytes = Infinity;
+  for (const text of list) {
+    const more = sizeOf(text) + 1;
+    if (bytes + more > valueBytes) {
+      parts.push([]);
+      bytes = 2;
+    }
+    parts.at(-1)!.push(text);
+    bytes += more;
+  }
+  return parts;
+}
+
 /** Whether a job's value says that its user cancelled it; without decoding it. */
 export function isCancelled(value: unknown): boolean {
   return isObject(value) && value.p === PHASE_LETTER.cancelled;
--- a/src/state/writer.ts
+++ b/src/state/writer.ts
@@ -9,7 +9,7 @@
   | { outcome: 'applied'; epoch: WireInt }
   | { outcome: 'conflict' }
   /** Surely not written: the service could not be reached in time, or the queue is full. */
-  | { outcome: 'refused' }
+  | { outcome: 'refused'; malformed?: boolean }
   /** Must be read again before anything is concluded. */
   | { outcome: 'unclear' };
 
@@ -137,7 +137,7 @@
         this.log.debug({ status: result.status, entries: batch.length }, 'write refused');
         if (result.status === 400) {
           // Malformed or an ended lease: repeating does not help. Alone, the guilty entry is known.
-          if (batch.length === 1) batch[0]!.resolve({ outcome: 'refused' });
+          if (batch.length === 1) batch[0]!.resolve({ outcome: 'refused', malformed: true });
           else for (const entry of batch) await this.send([entry]);
           return;
         }
--- a/test/codec.test.ts
+++ b/test/codec.test.ts
@@ -46,7 +46,14 @@
 
 test('submissions: valid ones, and each kind of mistake', () => {
   const { builds: _b, yard: _y, dueS: _d, ...without } = SUBMISSION;
-  for (const good of [SUBMISSION, without, { ...SUBMISSION, extra: 1 }, { ...SUBMISSION, dueS: null }])
+  const after = (awaits: unknown): unknown => ({ ...SUBMISSION, awaits });
+  for (const good of [
+    SUBMISSION,
+    without,
+    { ...SUBMISSION, extra: 1 },
+    { ...SUBMISSION, dueS: null },
+    after([]),
+  ])
     assert.equal(typeof decodeSubmission(JSON.stringify(good)), 'object');
   const bad: unknown[] = [
     ...Object.keys(without).map((field) => ({ ...SUBMISSION, [field]: undefined })),
@@ -62,6 +69,7 @@
     { ...SUBMISSION, builds: [] },
     { ...SUBMISSION, builds: 'g8' },
     { ...SUBMISSION, oneZone: 1 },
+    ...['job-1', 7, {}, ['x'], [1], [null], ['job-1', 'job-']].map(after),
     [],
     null,
     7,
@@ -69,6 +77,20 @@
   for (const value of bad)
     assert.equal(typeof decodeSubmission(JSON.stringify(value)), 'string', JSON.stringify(value));
   assert.equal(decodeSubmission('{'), 'not JSON');
+  const cases: [awaits: unknown, dependencies: string[] | undefined][] = [
+    [undefined, undefined],
+    [null, undefined],
+    [[], undefined],
+    [
+      ['job-2', 'job-1', 'job-2'],
+      ['job-2', 'job-1'],
+    ],
+  ];
+  for (const [awaits, dependencies] of cases) {
+    const spec = decodeSubmission(JSON.stringify(after(awaits)));
+    assert.ok(typeof spec !== 'string');
+    assert.deepEqual(spec.dependencies, dependencies);
+  }
 });
 
 test('reports: integers up to 2^64 keep every digit, malformed ones are refused', () => {
@@ -159,6 +181,17 @@
   assert.equal(settings.teams[0]!.acceleratorsMax, 0);
   assert.equal(settings.operator.idleKeepS, 7);
   assert.equal(settings.operator.useSpot, true);
+  // Limits that are announced count at once where they are tighter.
+  const announced = `${SETTINGS}\n[deployment.state.next]\nwrite_rps = 7.0\nvalue_kb = 2.0\ntxn_ops = 400\n`;
+  const { state } = load(announced);
+  assert.deepEqual(state, { ...settings.state, writesPerS: 7, valueBytes: 2048 });
+  for (const wrong of ['txn_ops = 0', 'txn_ops = 2.5', 'value_kb = 0.1', 'write_rps = -1', 'rps = "many"'])
+    assert.throws(
+      () => load(`${SETTINGS}\n[deployment.state.next]\n${wrong}\n`),
+      (error) =>
+        error instanceof SettingsError && /next/.test(error.message) && !error.message.includes('\n'),
+      wrong,
+    );
   const bad: [text: string, operator: string | undefined, message: RegExp][] = [
     ['member = ', undefined, /s\.toml: /],
     [SETTINGS.replace('member = "a"', ''), undefined, /member/],
--- a/test/deputy.test.ts
+++ b/test/deputy.test.ts
@@ -17,6 +17,7 @@
   };
   const deputy = new Deputy({
     member: 'c0',
+    valueBytes: 8192,
     mirror: rows as unknown as Mirror,
     writer: {} as Writer,
     clock,
--- a/test/election.test.ts
+++ b/test/election.test.ts
@@ -70,7 +70,7 @@
     clock,
     () => 0,
     knowledge,
-    8,
+    8192,
     0,
     pino({ level: 'silent' }),
   );
--- a/test/job-store.test.ts
+++ b/test/job-store.test.ts
@@ -32,6 +32,7 @@
         new Promise<WriteOutcome>((end) => writes.push({ conditions, operations, end })),
     } as unknown as Writer,
     objectives: [],
+    txnOps: 12,
     wallMs: () => 0,
     log: pino({ level: 'silent' }),
     stored: (end) => store.onStored(end),
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -404,6 +404,7 @@
   const day = new SimDay(21);
   day.at(5, () => day.submit({ tasks: 2, runS: 200 }));
   day.at(6, () => day.submit({ tasks: 1, runS: 2 }));
+  day.at(7, () => day.rules.calledOff('job-000001'));
   await day.clock.runUntil(40_000);
   const wire = (uid: string): Record<string, unknown> => day.wireOf({ ...day.rules.jobs.get(uid)!.job });
   const fresh = { ...wire('job-000001'), uid: 'job-900001' };
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -98,7 +98,8 @@
 
 function waiting(name: string, acceptedMs: number, dueMs: number, fields: Partial<JobSpec> = {}): Named {
   const spec = jobSpec({ cpus: 2, tasks: 2, ...fields });
-  return { name, spec, acceptedMs, dueMs, unfinished: spec.tasks };
+  const firstDueMs = spec.dueS === null ? Infinity : acceptedMs + spec.dueS * 1000;
+  return { name, spec, rank: spec.rank, queuedMs: acceptedMs, firstDueMs, dueMs, unfinished: spec.tasks };
 }
 
 test('order of release: rank, guarantee, earliest deadline, age; neither team can starve the other', () => {
