--- /dev/null
+++ b/test/former.ts
@@ -0,0 +1,56 @@
+import { isObject } from '../src/wire/json.js';
+
+/**
+ * The version in production (deploy/service.toml), as it writes and reads what it shares with this one; not changed with
+ * ours. The values of jobs, groups and kept machines were printed by its own code; how it reads is abridged from it.
+ * Versions serve side by side while an upgrade rolls.
+ */
+
+/** Values that it wrote into the state service. */
+export const STORED = {
+  open:
+    '{"p":"o","n":4,"t":1790000002622,"x":"EN","u":0,"d":"Bw==","s":{"uid":"job-312747","cohort":"league-tables",' +
+    '"team":"quizmaster-tools","kind":"array","rank":"standard","tasks":4,"cpus":4,"accelerators":0,"memGb":8.8,' +
+    '"types":null,"zone":null,"oneZone":false,"scatter":false,"spot":true,"image":"img-07","imageGb":1.8,"guessS":65.5,' +
+    '"saveEveryS":0,"saveS":0,"dueS":143}}',
+  done: '{"p":"d","n":4,"t":1790000002622,"x":"SN"}',
+  cancelled: '{"p":"c","n":4,"t":1790000002622,"x":"FE"}',
+  group: '{"t":"kufel-node","z":"warszawa-a","s":1,"m":{"vm-000039":"10.1.0.40:9000","vm-000040":0}}',
+  kept: '{"t":12,"m":["vm-000039","vm-000040"]}',
+  term: '{"term":12}',
+  leader: '{"member":"hearth-2","term":12}',
+};
+
+/** Frames that it sent to other controllers, unpacked. */
+export const FRAMES: Record<string, unknown>[] = [
+  { kind: 'beat' },
+  { kind: 'able', able: true, relays: null },
+  { kind: 'able', able: false, relays: 'hearth-1' },
+  { kind: 'counts', running: { 'job-312747': 3 } },
+  { kind: 'relay', id: 4503599627370497, body: '{}' },
+  { kind: 'relayed', id: 4503599627370497, status: 200, body: '{"baton":12,"orders":[]}' },
+  { kind: 'ask', id: 3, term: 12, since: 400 },
+  { kind: 'ask', id: 4, term: 12, since: 400, read: { log: 77, seq: 3 } },
+  { kind: 'cancellations', id: 4, term: 12, rows: [{ key: 'ph/j/job-1', value: { p: 'c' }, stamp: 401 }] },
+  { kind: 'promise', id: 4, term: 12, given: true, informs: { parts: 1, at: { log: 77, seq: 4 } } },
+];
+
+/** How it reads a job's value. */
+export function readJob(value: unknown): Record<string, unknown> | undefined {
+  if (!isObject(value)) return undefined;
+  const phase = { o: 'open', d: 'done', c: 'cancelled' }[String(value.p)];
+  const { n, t, x, s } = value;
+  if (!phase || !Number.isSafeInteger(n) || (n as number) <= 0 || typeof t !== 'number') return undefined;
+  if (typeof x !== 'string' || !/^[NESF]{1,2}$/.test(x)) return undefined;
+  const spec = isObject(s) && s.tasks === n && typeof s.team === 'string' ? s : undefined;
+  if (phase === 'open' && !spec) return undefined;
+  const done = typeof value.d === 'string' ? value.d : '';
+  return { phase, tasks: n, spec, acceptedMs: t, tuple: x, successor: value.u === 1, done };
+}
+
+/** How it writes what it read: what it does not know of stays in the description only. */
+export function writeJob(record: Record<string, unknown>): unknown {
+  const { phase, tasks: n, acceptedMs: t, tuple: x, successor, done: d, spec: s } = record;
+  const base = { p: String(phase)[0], n, t, x };
+  return s === undefined ? base : { ...base, u: successor ? 1 : 0, d, s };
+}
