--- a/src/main.ts
+++ b/src/main.ts
@@ -57,7 +57,11 @@
   }
   controller.start();
   log.info(
-    { address: settings.publicAddress, startObjectives: settings.startObjectives },
+    {
+      version: packageJson.version,
+      address: settings.publicAddress,
+      startObjectives: settings.startObjectives,
+    },
     'controller started',
   );
 }
