--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -442,3 +442,21 @@
   }
   assert.deepEqual(day.rules.broken, []);
 });
+
+/** Several of these troubles on one day, drawn at fixed seeds; only the rules are looked at, as little may be left to serve. */
+for (const seed of [101, 102, 103, 104, 105, 106]) {
+  const drawn: Meeting[] = [];
+  for (let state = seed; drawn.length < 3;) {
+    state = (state * 48_271) % 2_147_483_647;
+    const meeting = MEETINGS[state % MEETINGS.length]!;
+    if (!drawn.includes(meeting)) drawn.push(meeting);
+  }
+  test(`drawn: ${drawn.map(({ name }) => name).join('; ')} (seed ${seed})`, async () => {
+    const day = new SimDay(seed);
+    load(day);
+    for (const { trouble } of drawn) trouble(day);
+    await day.clock.runUntil(230_000);
+    assert.deepEqual(day.rules.broken, []);
+    assert.ok(day.rules.started > 30, `only ${day.rules.started} tasks started`);
+  });
+}
