--- a/src/settings.ts
+++ b/src/settings.ts
@@ -1,12 +1,11 @@
-import { Ajv } from 'ajv';
+import type { ValidateFunction } from 'ajv';
 import { readFileSync } from 'node:fs';
 import { parse } from 'smol-toml';
-import operatorSchema from '../schema/operator.schema.json' with { type: 'json' };
-import platformSchema from '../schema/platform.schema.json' with { type: 'json' };
 import type { Peer } from './leadership/peers.js';
 import type { Objective } from './pipeline/job-pipeline.js';
 import type { TeamLimit } from './placement/rules.js';
 import type { StartObjective } from './placement/spare.js';
+import { validateOperator, validatePlatform } from './schema-validators.js';
 
 export interface Settings {
   member: string;
@@ -66,9 +65,7 @@
   };
 }
 
-function check<T>(schema: object, value: unknown, file: string): T {
-  const ajv = new Ajv({ useDefaults: true, strict: false, logger: false });
-  const validate = ajv.compile(schema);
+function check<T>(validate: ValidateFunction, value: unknown, file: string): T {
   if (validate(value)) return value as T;
   const first = validate.errors?.[0];
   throw new SettingsError(`${file}: ${first?.instancePath || '/'} ${first?.message ?? 'is not valid'}`);
@@ -92,9 +89,9 @@
 }
 
 export function loadSettings(platformPath: string, operatorPath?: string): Settings {
-  const file = check<PlatformFile>(platformSchema, parsed(platformPath, parse), platformPath);
+  const file = check<PlatformFile>(validatePlatform, parsed(platformPath, parse), platformPath);
   const own = operatorPath === undefined ? {} : parsed(operatorPath, JSON.parse);
-  const operator = check<OperatorSettings>(operatorSchema, own, operatorPath ?? 'operator settings');
+  const operator = check<OperatorSettings>(validateOperator, own, operatorPath ?? 'operator settings');
   const d = file.deployment;
   const tighter = (limit: keyof StateLimitsFile): number =>
     Math.min(d.state[limit], d.state.next?.[limit] ?? Infinity);
--- a/test/codec.test.ts
+++ b/test/codec.test.ts
@@ -19,7 +19,7 @@
 } from '../src/state/records.js';
 import { TaskSet } from '../src/state/task-set.js';
 import { formatJson, parseJson } from '../src/wire/json.js';
-import { jobSpec } from './fixtures.js';
+import { jobSpec, SETTINGS } from './fixtures.js';
 
 const SUBMISSION = {
   uid: 'job-000412',
@@ -130,42 +130,6 @@
   assert.equal(done.add(MAX_TASKS), false);
 });
 
-const SETTINGS = `
-member = "a"
-domain = "z"
-public_addr = "127.0.0.1:80"
-cluster_listen = "127.0.0.1:81"
-unknown = 1
-[[seeds]]
-member = "b"
-domain = "z"
-address = "127.0.0.1:82"
-[endpoints]
-cloud = "127.0.0.1:83"
-state = "127.0.0.1:84"
-[deployment]
-count = 2
-zones = ["z"]
-[[deployment.teams]]
-name = "red"
-cpus = 1
-cpus_max = 2.5
-[deployment.workers]
-report_s = 1.5
-lease_s = 14.0
-cancel_s = 39.0
-[deployment.state]
-rps = 200.0
-write_rps = 80.0
-value_kb = 8.0
-txn_ops = 12
-[deployment.cloud]
-rps = 6.0
-list_lag_s = 5.0
-[deployment.quota]
-max_connections = 900
-`;
-
 test('settings: read, with defaults, and each mistake told in one line', () => {
   const folder = mkdtempSync(join(tmpdir(), 'settings-'));
   const file = join(folder, 's.toml');
