--- a/src/leadership/peers.ts
+++ b/src/leadership/peers.ts
@@ -1,11 +1,11 @@
 import { createServer, Socket, type Server } from 'node:net';
-import { pack, unpack } from 'msgpackr';
 import type { Logger } from 'pino';
 import type { Clock } from '../clock.js';
-import { PEER_BEAT_MS, PEER_FRAME_BYTES, PEER_RETRY_MS, PEER_SILENT_MS } from '../constants.js';
+import { PEER_BEAT_MS, PEER_RETRY_MS, PEER_SILENT_MS } from '../constants.js';
 import { splitAddress } from '../http/server.js';
 import { isObject } from '../wire/json.js';
 import { decodePeerMessage, type PeerMessage } from './peer-codec.js';
+import { encodeFrame, FrameReader, FrameWriter } from './peer-frames.js';
 
 export interface Peer {
   member: string;
@@ -21,36 +21,12 @@
   onMessage(listener: (member: string, message: PeerMessage) => void): void;
 }
 
-class Frames {
-  private buffer: Buffer = Buffer.alloc(0);
-
-  feed(data: Buffer): unknown[] {
-    this.buffer = this.buffer.length === 0 ? data : Buffer.concat([this.buffer, data]);
-    const messages: unknown[] = [];
-    while (this.buffer.length >= 4) {
-      const length = this.buffer.readUInt32BE(0);
-      if (length > PEER_FRAME_BYTES) throw new Error('peer frame too large');
-      if (this.buffer.length < 4 + length) break;
-      messages.push(unpack(this.buffer.subarray(4, 4 + length)));
-      this.buffer = this.buffer.subarray(4 + length);
-    }
-    return messages;
-  }
-}
-
-function frame(message: unknown): Buffer {
-  const body = pack(message);
-  const head = Buffer.alloc(4);
-  head.writeUInt32BE(body.length, 0);
-  return Buffer.concat([head, body]);
-}
-
 /**
  * Length-prefixed msgpackr over TCP. Each controller dials each other one and sends on the connection it dialled;
  * what can't be sent now is dropped, as everything said here is said again.
  */
 export class PeerLinks implements PeerChannel {
-  private readonly outgoing = new Map<string, Socket>();
+  private readonly outgoing = new Map<string, FrameWriter>();
   private readonly listeners: ((member: string, message: PeerMessage) => void)[] = [];
   private readonly refusing = new Set<string>();
   private server: Server | undefined;
@@ -71,9 +47,7 @@
   }
 
   send(member: string, message: PeerMessage): void {
-    const socket = this.outgoing.get(member);
-    // A peer that doesn't read is not allowed to fill our memory.
-    if (socket && socket.writableLength < PEER_FRAME_BYTES) socket.write(frame(message));
+    this.outgoing.get(member)?.send(message);
   }
 
   listen(address: string): Promise<void> {
@@ -87,7 +61,7 @@
   }
 
   private accept(socket: Socket): void {
-    const frames = new Frames();
+    const frames = new FrameReader();
     let member: string | undefined;
     socket.setNoDelay(true);
     socket.setTimeout(PEER_SILENT_MS, () => socket.destroy());
@@ -115,6 +89,7 @@
   private dial(peer: Peer): void {
     const { host, port } = splitAddress(peer.address);
     const socket = new Socket();
+    const writer = new FrameWriter(socket);
     let stopBeat = (): void => undefined;
     const giveUp = this.clock.after(PEER_SILENT_MS, () => socket.destroy());
     socket.setNoDelay(true);
@@ -127,8 +102,8 @@
     socket.on('connect', () => {
       giveUp();
       this.refusing.delete(peer.member);
-      socket.write(frame({ member: this.self }));
-      this.outgoing.set(peer.member, socket);
+      socket.write(encodeFrame({ member: this.self }));
+      this.outgoing.set(peer.member, writer);
       const beat = (): void => {
         this.send(peer.member, { kind: 'beat' });
         stopBeat = this.clock.after(PEER_BEAT_MS, beat);
@@ -139,7 +114,7 @@
       giveUp();
       stopBeat();
       // One that was there is tried again at once: whether it refuses us tells a filter from a cut.
-      const wasThere = this.outgoing.get(peer.member) === socket;
+      const wasThere = this.outgoing.get(peer.member) === writer;
       if (wasThere) this.outgoing.delete(peer.member);
       this.clock.after(wasThere ? 0 : PEER_RETRY_MS, () => this.dial(peer));
     });
