--- /dev/null
+++ b/scripts/profile/report.mjs
@@ -0,0 +1,111 @@
+// Prints what scripts/profile/load.ts left behind: processor time by activity and memory by part, one column a process.
+import { readdirSync, readFileSync } from 'node:fs';
+import { join } from 'node:path';
+
+const [folder] = process.argv.slice(2);
+if (folder === undefined) throw new Error('usage: report.mjs <directory of load.ts>');
+
+/** First match counts: where a function's code stands, and its name, say which activity it belongs to. */
+const ACTIVITIES = [
+  ['garbage collection', /^\(garbage collector\)/],
+  ['loading the program', /cjs\/loader|launcher|target\/main\.cjs|bootstrap|node:vm|runInThisContext/],
+  ['settings and schemas', /schema-validators|settings\.ts|ajv|smol-toml|fast-uri|commander/],
+  ['JSON and reports', /wire\/json|fleet\/codec|frontdoor\/codec|cloud\/codec/],
+  ['frames between controllers', /msgpackr|peer-codec|peer-frames|leadership\/peers/],
+  ['HTTP', /src\/http\//],
+  ['sockets and streams', /node:net|stream|node:buffer|writeUtf8String|writeBuffer|node:events/],
+  ['timers and ticks', /timers|task_queues|async_hooks|promises|microtask/i],
+  ['state service: copy and writes', /src\/state\//],
+  ['election and promises', /election|authority|knowledge|cancellation-log/],
+  ['reports taken by the leader', /leader\.ts.*(onReport|seen|greet|mayAnswer)|fleet\/ledger|fleet\/lease/],
+  ['passes, placing and renting', /placement\/|leader\.ts|fleet\/health|pipeline\/|node-records|cloud\.ts/],
+  ['front door and relay', /frontdoor|relay|controller\.ts/],
+  ['logging', /pino|sonic-boom/],
+  ['native code without a name', /^\(program\)/],
+];
+
+/** The module that each line of the bundle came from: esbuild names it in a comment before its code. */
+function modulesByLine() {
+  let module = 'bundle';
+  return readFileSync('target/program.cjs', 'utf8')
+    .split('\n')
+    .map((line) => (module = /^\s*\/\/ ((src|node_modules|schema)\/\S+)/.exec(line)?.[1] ?? module));
+}
+
+/** Milliseconds spent in each function itself, by a name that tells where its code stands. */
+function readProfile(file, modules) {
+  const profile = JSON.parse(readFileSync(file, 'utf8'));
+  const names = new Map();
+  for (const { id, callFrame } of profile.nodes) {
+    const { url, functionName, lineNumber } = callFrame;
+    names.set(
+      id,
+      `${url.endsWith('program.cjs') ? modules[lineNumber] : url || functionName}#${functionName}`,
+    );
+  }
+  const spent = new Map();
+  profile.samples.forEach((id, index) => {
+    const name = names.get(id);
+    spent.set(name, (spent.get(name) ?? 0) + profile.timeDeltas[index] / 1000);
+  });
+  spent.delete('(idle)#(idle)');
+  return spent;
+}
+
+function byActivity(spent) {
+  const sums = new Map();
+  for (const [name, ms] of spent) {
+    const activity = ACTIVITIES.find(([, pattern]) => pattern.test(name))?.[0] ?? 'other';
+    sums.set(activity, (sums.get(activity) ?? 0) + ms);
+  }
+  return sums;
+}
+
+function table(title, columns, rows) {
+  const lines = [
+    `| ${title} | ${columns.join(' | ')} |`,
+    `| --- ${'| --- '.repeat(columns.length)}|`,
+    ...rows.map(([name, values]) => `| ${name} | ${values.join(' | ')} |`),
+  ];
+  return `${lines.join('\n')}\n\n`;
+}
+
+const modules = modulesByLine();
+const members = readdirSync(folder)
+  .filter((file) => file.endsWith('.cpuprofile'))
+  .map((file) => file.replace('.cpuprofile', ''))
+  .sort();
+const profiles = members.map((member) => readProfile(join(folder, `${member}.cpuprofile`), modules));
+const activities = profiles.map(byActivity);
+const busy = activities.map((sums) => [...sums.values()].reduce((a, b) => a + b, 0));
+const rows = [...ACTIVITIES.map(([name]) => name), 'other'].map((name) => [
+  name,
+  activities.map((sums, i) => {
+    const ms = sums.get(name) ?? 0;
+    return `${ms.toFixed(0)} (${((100 * ms) / busy[i]).toFixed(0)}%)`;
+  }),
+]);
+rows.push(['all', busy.map((ms) => ms.toFixed(0))]);
+process.stdout.write(table('ms of processor time', members, rows));
+
+const megabytes = (bytes) => (bytes / 2 ** 20).toFixed(1);
+const memory = members.map((member) =>
+  JSON.parse(readFileSync(join(folder, `${member}.memory.json`), 'utf8')),
+);
+const memoryRows = [
+  ['whole process', memory.map((report) => megabytes(report.memory.rss))],
+  ['heap in use', memory.map((report) => megabytes(report.memory.heapUsed))],
+  ['buffers outside the heap', memory.map((report) => megabytes(report.memory.external))],
+];
+for (const { space } of memory[0].spaces) {
+  const sizes = memory.map((report) => report.spaces.find((each) => each.space === space).size);
+  if (sizes.some((size) => size > 0)) memoryRows.push([`heap: ${space}`, sizes.map(megabytes)]);
+}
+process.stdout.write(table('MB', members, memoryRows));
+
+if (process.argv.includes('--functions')) {
+  members.forEach((member, i) => {
+    const top = [...profiles[i]].sort((a, b) => b[1] - a[1]).slice(0, 40);
+    process.stdout.write(`${member}\n${top.map(([name, ms]) => `${ms.toFixed(1)} ${name}`).join('\n')}\n\n`);
+  });
+}
--- a/src/simulation/cloud.ts
+++ b/src/simulation/cloud.ts
@@ -1,5 +1,5 @@
+import type { Clock } from '../clock.js';
 import type { HttpResponse } from '../http/message.js';
-import type { SimClock } from './clock.js';
 import type { SimWorker, WorkerPlace } from './workers.js';
 
 interface Host extends WorkerPlace {
@@ -19,7 +19,7 @@
   returnedAgain = 0;
 
   constructor(
-    private readonly clock: SimClock,
+    private readonly clock: Clock,
     private readonly types: { sku: string; cpus: number; memGb: number; bootS: number; price: number }[],
     private readonly zones: string[],
     private readonly capacity: number,
--- a/src/simulation/state-service.ts
+++ b/src/simulation/state-service.ts
@@ -1,5 +1,5 @@
+import type { Clock } from '../clock.js';
 import type { HttpResponse } from '../http/message.js';
-import type { SimClock } from './clock.js';
 
 interface Row {
   v: unknown;
@@ -38,7 +38,7 @@
   readonly writes: number[] = [];
 
   constructor(
-    private readonly clock: SimClock,
+    private readonly clock: Clock,
     private readonly random: () => number,
   ) {
     const tick = (): void => {
--- a/src/simulation/workers.ts
+++ b/src/simulation/workers.ts
@@ -1,5 +1,5 @@
+import type { Clock } from '../clock.js';
 import type { HttpCaller, HttpResponse } from '../http/message.js';
-import type { SimClock } from './clock.js';
 import type { SimNetwork } from './network.js';
 import type { SimRules } from './rules.js';
 
@@ -16,6 +16,8 @@
   type: string;
   zone: string;
   spot: boolean;
+  /** Where its worker takes commands; by default a name of the simulated network. */
+  address?: string;
 }
 
 interface Order {
@@ -41,8 +43,8 @@
     readonly place: WorkerPlace,
     private readonly controllers: { member: string; address: string }[],
     private readonly timing: { reportS: number; leaseS: number; fetchS: number },
-    private readonly clock: SimClock,
-    network: SimNetwork,
+    private readonly clock: Clock,
+    network: Pick<SimNetwork, 'attach' | 'caller'>,
     private readonly rules: SimRules,
     private readonly random: () => number,
     private readonly finished: Set<string>,
@@ -58,7 +60,7 @@
   }
 
   get address(): string {
-    return `${this.place.name}:1`;
+    return this.place.address ?? `${this.place.name}:1`;
   }
 
   /** The machine is gone, with all that was on it. */
