--- a/scripts/profile/load.ts
+++ b/scripts/profile/load.ts
@@ -256,6 +256,7 @@
     processes.map(
       (child) =>
         new Promise<void>((resolve) => {
+          if (child.exitCode !== null) return resolve();
           child.on('exit', () => resolve());
           child.kill('SIGTERM');
         }),
--- a/scripts/profile/report.mjs
+++ b/scripts/profile/report.mjs
@@ -17,9 +17,12 @@
   ['timers and ticks', /timers|task_queues|async_hooks|promises|microtask/i],
   ['state service: copy and writes', /src\/state\//],
   ['election and promises', /election|authority|knowledge|cancellation-log/],
-  ['reports taken by the leader', /leader\.ts.*(onReport|seen|greet|mayAnswer)|fleet\/ledger|fleet\/lease/],
-  ['passes, placing and renting', /placement\/|leader\.ts|fleet\/health|pipeline\/|node-records|cloud\.ts/],
-  ['front door and relay', /frontdoor|relay|controller\.ts/],
+  ['reports taken by the leader', /report-intake|worker-commands|fleet\/ledger|fleet\/lease/],
+  [
+    'passes, placing and renting',
+    /placement\/|leadership\/(leader|fleet-upkeep|recovery|catalogue|job-store)|fleet\/|pipeline\/|cloud\.ts/,
+  ],
+  ['front door, relay and actors', /frontdoor|relay|controller\.ts|actor\.ts|clock\.ts/],
   ['logging', /pino|sonic-boom/],
   ['native code without a name', /^\(program\)/],
 ];
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -40,6 +40,7 @@
 import type { Knowledge } from './knowledge.js';
 import type { PeerMessage } from './peer-codec.js';
 import type { Peer, PeerChannel } from './peers.js';
+import { PromiseRound } from './promise-round.js';
 
 /** A term that this controller holds. */
 export interface Term {
@@ -71,18 +72,6 @@
   sinceMs: number;
 }
 
-/** One round of promises, as the leader sees it. */
-interface Round {
-  id: number;
-  atMs: number;
-  /** Who has not promised yet, and who has not passed on all it knows. */
-  missing: Set<string>;
-  uninformed: Set<string>;
-  /** Messages of cancellations that came, and the promise that says how many there are. */
-  parts: Map<string, number>;
-  informs: Map<string, { parts: number; at: LogPosition }>;
-}
-
 /**
  * One leader at a time. Its key in the state service hangs on a lease; whoever finds the key gone raises the term
  * by a conditional write. While the state service answers nobody, the promises of all other controllers carry the
@@ -104,7 +93,7 @@
   private readonly heardMs = new Map<string, number>();
   /** Since when each other controller is heard of without a gap. */
   private readonly upSinceMs = new Map<string, number>();
-  private round: Round | undefined;
+  private round: PromiseRound | undefined;
   /** The cancelled jobs in our copy, for a leader that the state service does not serve. */
   private readonly cancellations: CancellationLog;
   /** How far each other controller's log has been taken into our copy. */
@@ -413,14 +402,7 @@
   private askPromises(now: number): void {
     const id = ++this.askId;
     const others = this.peers.map((peer) => peer.member);
-    this.round = {
-      id,
-      atMs: now,
-      missing: new Set(others),
-      uninformed: new Set(others),
-      parts: new Map(),
-      informs: new Map(),
-    };
+    this.round = new PromiseRound(id, now, others);
     const term = this.leading!.term.number;
     const since = this.mirror.completeTo;
     for (const member of others)
@@ -512,30 +494,27 @@
     const round = this.currentRound(id, term);
     if (!round || !rows.every(isCancelledJob)) return;
     for (const row of rows) this.mirror.learn(row);
-    round.parts.set(member, (round.parts.get(member) ?? 0) + 1);
-    this.countRound(round, member);
+    this.learnFrom(round, member, round.takeCancellations(member));
   }
 
   private onPromise(member: string, message: Extract<PeerMessage, { kind: 'promise' }>): void {
     const round = this.currentRound(message.id, message.term);
     if (!round || !message.given) return;
-    if (round.missing.delete(member) && round.missing.size === 0)
-      this.leading!.term.authority.granted(round.atMs, GRANT_MS, this.clock.steadyMs());
-    if (message.informs) round.informs.set(member, message.informs);
-    this.countRound(round, member);
+    if (round.takePromise(member))
+      this.leading!.term.authority.granted(round.askedMs, GRANT_MS, this.clock.steadyMs());
+    this.learnFrom(round, member, round.takeExtent(member, message.informs));
   }
 
   /** A late one to a former process of ours, which led an earlier term, may bear the same number. */
-  private currentRound(id: number, term: number): Round | undefined {
+  private currentRound(id: number, term: number): PromiseRound | undefined {
     return this.leading?.term.number === term && this.round?.id === id ? this.round : undefined;
   }
 
   /** A promise informs us only once all that belongs to it is in our copy. */
-  private countRound(round: Round, member: string): void {
-    const informs = round.informs.get(member);
-    if (!informs || (round.parts.get(member) ?? 0) < informs.parts) return;
-    this.logsRead.set(member, informs.at);
-    if (round.uninformed.delete(member) && round.uninformed.size === 0) this.knowledge.learned(round.atMs);
+  private learnFrom(round: PromiseRound, member: string, completeTo: LogPosition | undefined): void {
+    if (completeTo === undefined) return;
+    this.logsRead.set(member, completeTo);
+    if (round.takeInformed(member)) this.knowledge.learned(round.askedMs);
   }
 
   /** Only who is not served either: with one that is, the leader alone is cut off and must make way. */
--- a/src/leadership/peers.ts
+++ b/src/leadership/peers.ts
@@ -60,6 +60,11 @@
     });
   }
 
+  /** Takes no further connections; those that are open stay. */
+  close(): void {
+    this.server?.close();
+  }
+
   private accept(socket: Socket): void {
     const frames = new FrameReader();
     let member: string | undefined;
@@ -91,6 +96,7 @@
     const socket = new Socket();
     const writer = new FrameWriter(socket);
     let stopBeat = (): void => undefined;
+    let connectedMs = Infinity;
     const giveUp = this.clock.after(PEER_SILENT_MS, () => socket.destroy());
     socket.setNoDelay(true);
     socket.on('error', (error: NodeJS.ErrnoException) => {
@@ -101,6 +107,7 @@
     socket.on('data', () => undefined);
     socket.on('connect', () => {
       giveUp();
+      connectedMs = this.clock.steadyMs();
       this.refusing.delete(peer.member);
       socket.write(encodeFrame({ member: this.self }));
       this.outgoing.set(peer.member, writer);
@@ -113,10 +120,12 @@
     socket.on('close', () => {
       giveUp();
       stopBeat();
-      // One that was there is tried again at once: whether it refuses us tells a filter from a cut.
       const wasThere = this.outgoing.get(peer.member) === writer;
       if (wasThere) this.outgoing.delete(peer.member);
-      this.clock.after(wasThere ? 0 : PEER_RETRY_MS, () => this.dial(peer));
+      // One that was there is tried again at once: whether it refuses us tells a filter from a cut. One that ends each
+      // connection as it comes (another program, or a host without free sockets) would keep us busy with nothing else.
+      const lasted = wasThere && this.clock.steadyMs() - connectedMs >= PEER_RETRY_MS;
+      this.clock.after(lasted ? 0 : PEER_RETRY_MS, () => this.dial(peer));
     });
     socket.connect({ host, port });
   }
--- /dev/null
+++ b/test/peers.test.ts
@@ -0,0 +1,44 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer, type AddressInfo } from 'node:net';
+import { setImmediate } from 'node:timers/promises';
+import test from 'node:test';
+import { pino } from 'pino';
+import type { Clock } from '../src/clock.js';
+import { PEER_RETRY_MS } from '../src/constants.js';
+import { PeerLinks } from '../src/leadership/peers.js';
+
+// A host that took each connection and ended it at once was dialled without a pause: half of a process' time went there.
+test('a peer that ends each connection as it comes is dialled again after a pause, one that lasted at once', async () => {
+  for (const [lastedMs, retryMs] of [
+    [0, PEER_RETRY_MS],
+    [PEER_RETRY_MS - 1, PEER_RETRY_MS],
+    [PEER_RETRY_MS, 0],
+  ] as const) {
+    let nowMs = 0;
+    const retries: number[] = [];
+    const clock: Clock = {
+      steadyMs: () => nowMs,
+      wallMs: () => nowMs,
+      after: (ms, run) => {
+        if (/dial/.test(run.toString())) retries.push(ms);
+        return () => undefined;
+      },
+    };
+    const host = createServer((socket) => {
+      socket.on('data', () => {
+        nowMs = lastedMs;
+        socket.destroy();
+      });
+    }).listen(0, '127.0.0.1');
+    await once(host, 'listening');
+    const { port } = host.address() as AddressInfo;
+    const peer = { member: 'b', zone: 'z', address: `127.0.0.1:${port}` };
+    const links = new PeerLinks('a', [peer], clock, pino({ level: 'silent' }));
+    await links.listen('127.0.0.1:0');
+    while (retries.length === 0) await setImmediate();
+    assert.deepEqual(retries, [retryMs], `lasted ${lastedMs} ms`);
+    links.close();
+    host.close();
+  }
+});
