--- a/src/constants.ts
+++ b/src/constants.ts
@@ -105,10 +105,10 @@
 /** ratio: steady clocks of two machines drift apart by at most 0.05%; twice that is assumed. */
 export const CLOCK_DRIFT = 0.001;
 /**
- * ms: for which a peer promises not to stand, when neither it nor the leader reaches the state service. Short, as a
+ * ms: for which a peer promises not to become a candidate, when neither it nor the leader reaches the state service. Short, as a
  * restarted controller has to wait it out.
  */
-export const GRANT_MS = 1_500;
+export const PROMISE_MS = 1_500;
 /** ms: on top of the chain from a confirmed cancellation to its last task's end: watch of leases, late timers. */
 export const KNOWN_MARGIN_MS = 1_000;
 /** ms: since when a leader that is served must know all cancellations to start tasks; a watch may take that long. */
@@ -120,15 +120,15 @@
 /** bytes: on the safe side, of the key and stamp of a row that is passed on. */
 export const ROW_EXTRA_BYTES = 256;
 /** ms: between two requests for promises. */
-export const GRANT_ASK_MS = 350;
-/** ms: on top of a promise before the promiser stands. */
-export const GRANT_MARGIN_MS = 200;
+export const PROMISE_ASK_MS = 350;
+/** ms: on top of a promise before the promiser may become a candidate. */
+export const PROMISE_MARGIN_MS = 200;
 /** ms: without an answer of the state service to a probe before a promise is given; it takes under 10 ms as a rule. */
 export const PROBE_MS = 300;
 /** ms: longest random pause before standing, so that two candidates seldom collide. */
-export const STAND_JITTER_MS = 150;
-/** ms: by which a controller far from the machines stands later. */
-export const STAND_FAR_MS = 400;
+export const CANDIDACY_JITTER_MS = 150;
+/** ms: by which a controller far from the machines becomes a candidate later. */
+export const CANDIDACY_FAR_MS = 400;
 /** ratio to the fullest zone's machines below which a leader counts as far from them. */
 export const HANDOVER_SHARE = 0.2;
 /** ms: between two handovers of one controller; each stops new starts for a moment. */
@@ -200,7 +200,7 @@
 /** answers in a row that show no effect before a machine counts as not hearing us. */
 export const UNHEARD_ANSWERS = 2;
 /** ms: for which a worker that does not show our token is answered; beyond it our answers surely do not reach it. */
-export const GREET_FOR_MS = 6_000;
+export const INTRODUCE_FOR_MS = 6_000;
 /** ms: for which deleted machines are remembered; copies of their reports may come late, well over a lease. */
 export const GONE_KEEP_MS = 600_000;
 /** attempts: the low bits of an attempt's number; the high part is the leader's term. */
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -109,7 +109,7 @@
       channel: peers,
       log,
       random: world.random,
-      leader: () => this.election.heardLeader(),
+      leader: () => this.election.reachableLeader(),
       refusingLeader: () => {
         const leader = this.election.knowsLeader ? this.election.leader() : undefined;
         return leader !== undefined && peers.refuses(leader) ? leader : undefined;
@@ -178,7 +178,7 @@
   /** Workers are taken in their own zone: there they stay when zones are cut from each other. */
   private takeReport(report: Report, body: string, respond: Respond): true | string | undefined {
     const { zone } = this.world.settings;
-    const near = report.zone === zone ? [] : this.election.takers(report.zone);
+    const near = report.zone === zone ? [] : this.election.reportTargets(report.zone);
     // Another each time: the one named before may be out of the worker's reach.
     if (near.length > 0) return near[(spread(report.node) + Number(report.tick)) % near.length];
     if (this.leader) {
--- a/src/fleet/health.ts
+++ b/src/fleet/health.ts
@@ -75,7 +75,7 @@
 
   private silentMs(node: Node, now: number): number {
     // A report that does not show our token counts once: answers may not reach its worker.
-    return now - Math.max(node.reportedMs, node.greetedMs, this.deps.startedMs);
+    return now - Math.max(node.reportedMs, node.introducedMs, this.deps.startedMs);
   }
 
   /** For how long a machine may be silent before it counts as lost. */
--- a/src/fleet/lease.ts
+++ b/src/fleet/lease.ts
@@ -28,14 +28,14 @@
  * that was deleted, or older than what the machine showed already, or of a worker that obeys a later term, which
  * would drop our answer and yet be held here by it.
  */
-export function worthOf(
+export function classifyReport(
   token: WireInt,
   term: number,
   machine: { gone: boolean; current: boolean },
-): 'greet' | 'news' | 'nothing' {
-  if (machine.gone || token > term) return 'nothing';
-  if (token === term) return 'news';
-  return machine.current ? 'nothing' : 'greet';
+): 'introduce' | 'current' | 'stale' {
+  if (machine.gone || token > term) return 'stale';
+  if (token === term) return 'current';
+  return machine.current ? 'stale' : 'introduce';
 }
 
 /**
--- a/src/fleet/ledger.ts
+++ b/src/fleet/ledger.ts
@@ -45,7 +45,7 @@
   /** Steady ms of the last report; -Infinity: none in this term. */
   reportedMs: number;
   /** Steady ms of its first report in this term that did not show our token yet; -Infinity: none. */
-  greetedMs: number;
+  introducedMs: number;
   /** Steady ms of our last 200. */
   answeredMs: number;
   /** Answers in a row of which its reports show nothing. */
@@ -88,7 +88,7 @@
   readonly nodes = new Map<string, Node>();
   readonly teams = new Map<string, Resources>();
   /** Machines with something planned or to be stopped, of which their workers may not know. */
-  readonly untold = new Set<Node>();
+  readonly awaitingCommands = new Set<Node>();
 
   constructor(
     private readonly leaseS: number,
@@ -108,7 +108,7 @@
       session: 0,
       tick: 0,
       reportedMs: -Infinity,
-      greetedMs: -Infinity,
+      introducedMs: -Infinity,
       answeredMs: -Infinity,
       unheard: 0,
       leaseEndMs: -Infinity,
@@ -140,7 +140,7 @@
   removeNode(node: Node): void {
     this.releaseAll(node);
     this.nodes.delete(node.name);
-    this.untold.delete(node);
+    this.awaitingCommands.delete(node);
   }
 
   /** Its lease has surely ended: every task of its session is gone. */
@@ -178,7 +178,7 @@
         case 'never executed':
           neverExecuted = true;
           attempt.state = 'planned';
-          this.untold.add(node);
+          this.awaitingCommands.add(node);
           break;
         case 'gone':
           this.remove(attempt);
@@ -244,7 +244,7 @@
       // Of a job that is over, or that runs elsewhere: nobody wants it.
       if (!wanted) {
         attempt.stop = { leewayS: 0 };
-        this.untold.add(node);
+        this.awaitingCommands.add(node);
       }
     }
     if (attempt.state === 'exited') return key;
@@ -296,7 +296,7 @@
       direct: 'none',
     };
     node.attempts.set(attemptKey(uid, index, number), attempt);
-    if (state === 'planned') this.untold.add(node);
+    if (state === 'planned') this.awaitingCommands.add(node);
     add(node.used, size, 1);
     if (job) {
       const team = this.teams.get(job.spec.team) ?? { ...NOTHING };
--- a/src/frontdoor/frontdoor.ts
+++ b/src/frontdoor/frontdoor.ts
@@ -46,7 +46,7 @@
 export interface FrontdoorDeps {
   teams: TeamLimit[];
   mirror: Mirror;
-  dependencies: Pick<Dependencies, 'standing'>;
+  dependencies: Pick<Dependencies, 'statusOf'>;
   /** Of the state service: bytes of a value, and puts in a transaction. */
   limits: { valueBytes: number; txnOps: number };
   random: () => number;
@@ -266,7 +266,7 @@
   /** A job is cancelled if it, or any job that it needs, is: also before that is written for it. */
   private decode(uid: string, row: Row): JobRecord | undefined {
     const record = decodeJob(row.value);
-    if (record?.phase !== 'open' || this.deps.dependencies.standing(uid) !== 'cancelled') return record;
+    if (record?.phase !== 'open' || this.deps.dependencies.statusOf(uid) !== 'cancelled') return record;
     return { ...record, phase: 'cancelled' };
   }
 
--- a/src/leadership/authority.ts
+++ b/src/leadership/authority.ts
@@ -13,12 +13,12 @@
   }
 
   /**
-   * Every other controller promised not to stand for `grantMs`. Promises only carry on an authority that never
+   * Every other controller promised not to become a candidate for `promiseMs`. Promises only carry on an authority that never
    * lapsed: in a gap another could have led and ended, and its promise would say nothing of that.
    */
-  granted(askedMs: number, grantMs: number, nowMs: number): void {
+  extended(askedMs: number, promiseMs: number, nowMs: number): void {
     if (nowMs >= this.untilMs) return;
-    this.untilMs = Math.max(this.untilMs, askedMs + grantMs * (1 - CLOCK_DRIFT));
+    this.untilMs = Math.max(this.untilMs, askedMs + promiseMs * (1 - CLOCK_DRIFT));
   }
 
   ended(): void {
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -3,9 +3,9 @@
 import type { Clock } from '../clock.js';
 import {
   CLOCK_DRIFT,
-  GRANT_ASK_MS,
-  GRANT_MARGIN_MS,
-  GRANT_MS,
+  PROMISE_ASK_MS,
+  PROMISE_MARGIN_MS,
+  PROMISE_MS,
   HANDOVER_AFTER_MS,
   HANDOVER_MACHINES,
   HANDOVER_PAUSE_MS,
@@ -18,8 +18,8 @@
   PEER_FRAME_BYTES,
   PROBE_MS,
   ROW_EXTRA_BYTES,
-  STAND_JITTER_MS,
-  STAND_FAR_MS,
+  CANDIDACY_JITTER_MS,
+  CANDIDACY_FAR_MS,
   STATE_CALL_MS,
   STATE_FAILING_MS,
 } from '../constants.js';
@@ -58,8 +58,8 @@
 type Message =
   | { kind: 'tick' }
   | { kind: 'leaderChanged' }
-  | { kind: 'stood'; askedMs: number; hold: WireInt; number: number; result: TxnResult }
-  | { kind: 'standFailed' }
+  | { kind: 'candidacyEnded'; askedMs: number; hold: WireInt; number: number; result: TxnResult }
+  | { kind: 'candidacyFailed' }
   | { kind: 'touched'; askedMs: number; hold: WireInt; alive: boolean }
   | { kind: 'touchFailed' }
   | { kind: 'peer'; member: string; message: PeerMessage }
@@ -78,10 +78,10 @@
  * leader's authority on (docs/design.md argues why that is safe).
  */
 export class Election extends Actor<Message> {
-  private state: 'following' | 'standing' | 'leading' = 'following';
+  private state: 'following' | 'candidate' | 'leading' = 'following';
   private leading: Leading | undefined;
-  private nextStandMs: number;
-  private madeWayUntilMs = -Infinity;
+  private nextCandidacyMs: number;
+  private steppedDownUntilMs = -Infinity;
   private nextHandOverMs = -Infinity;
   private readonly able = new Set<string>();
   /** Whose reports each other controller would relay. */
@@ -119,8 +119,9 @@
     const now = clock.steadyMs();
     // A restarted controller does not know what its former self promised: it waits the longest promise out,
     // counted from when this process began.
-    this.promisedUntilMs = peers.length > 0 ? bornMs + GRANT_MS * (1 + CLOCK_DRIFT) + GRANT_MARGIN_MS : now;
-    this.nextStandMs = this.promisedUntilMs + this.standDelayMs();
+    this.promisedUntilMs =
+      peers.length > 0 ? bornMs + PROMISE_MS * (1 + CLOCK_DRIFT) + PROMISE_MARGIN_MS : now;
+    this.nextCandidacyMs = this.promisedUntilMs + this.candidacyDelayMs();
     this.cancellations = new CancellationLog(Math.floor(random() * LOG_NUMBERS));
     this.rowsPerMessage = Math.max(1, Math.floor(PEER_FRAME_BYTES / 4 / (valueBytes + ROW_EXTRA_BYTES)));
     mirror.onChange((change) => {
@@ -142,7 +143,7 @@
 
   private tellAble(): void {
     const now = this.clock.steadyMs();
-    const able = this.client.isServed && now >= this.madeWayUntilMs;
+    const able = this.client.isServed && now >= this.steppedDownUntilMs;
     const leader = this.leader();
     const relays = leader !== undefined && this.hears(leader) ? leader : null;
     for (const peer of this.peers) this.channel.send(peer.member, { kind: 'able', able, relays });
@@ -177,13 +178,13 @@
   }
 
   /** The leader, if it is heard of and not this controller. */
-  heardLeader(): string | undefined {
+  reachableLeader(): string | undefined {
     const leader = this.leader();
     return leader !== undefined && leader !== this.self.member && this.hears(leader) ? leader : undefined;
   }
 
   /** The controllers of a zone that take reports for the leader, or lead; in a fixed order. */
-  takers(zone: string): string[] {
+  reportTargets(zone: string): string[] {
     const leader = this.leader();
     if (leader === undefined) return [];
     const takes = ({ member }: Peer): boolean =>
@@ -208,8 +209,8 @@
   }
 
   private beatMs(): number {
-    if (this.state !== 'leading') return STAND_JITTER_MS;
-    return this.client.failing ? GRANT_ASK_MS : LEADER_TOUCH_MS;
+    if (this.state !== 'leading') return CANDIDACY_JITTER_MS;
+    return this.client.failing ? PROMISE_ASK_MS : LEADER_TOUCH_MS;
   }
 
   /** Who leads as far as this controller knows. */
@@ -230,14 +231,14 @@
     switch (message.kind) {
       case 'tick':
         if (this.state === 'leading') this.renew();
-        else this.maybeStand();
+        else this.maybeBecomeCandidate();
         if (this.state === 'leading') this.maybeHandOver();
         return;
       case 'leaderChanged':
         return this.onLeaderChanged();
-      case 'stood':
-        return this.onStood(message);
-      case 'standFailed':
+      case 'candidacyEnded':
+        return this.onCandidacyEnded(message);
+      case 'candidacyFailed':
         return this.follow(STATE_FAILING_MS);
       case 'touched':
         return this.onTouched(message);
@@ -250,13 +251,13 @@
         if (!this.leading) return;
         this.lose('resigned');
         // Others first: what made us resign may still be there.
-        this.makeWay();
+        this.stepDown();
     }
   }
 
   private follow(pauseMs: number): void {
     this.state = 'following';
-    this.nextStandMs = this.clock.steadyMs() + pauseMs * (0.5 + this.random());
+    this.nextCandidacyMs = this.clock.steadyMs() + pauseMs * (0.5 + this.random());
   }
 
   private onLeaderChanged(): void {
@@ -266,9 +267,9 @@
       return;
     }
     if (this.state === 'following' && !this.mirror.get(LEADER_KEY)) {
-      const soonMs = this.clock.steadyMs() + this.standDelayMs() + this.random() * STAND_JITTER_MS;
-      this.nextStandMs = Math.max(soonMs, this.madeWayUntilMs);
-      this.clock.after(this.nextStandMs - this.clock.steadyMs() + 1, () => this.send({ kind: 'tick' }));
+      const soonMs = this.clock.steadyMs() + this.candidacyDelayMs() + this.random() * CANDIDACY_JITTER_MS;
+      this.nextCandidacyMs = Math.max(soonMs, this.steppedDownUntilMs);
+      this.clock.after(this.nextCandidacyMs - this.clock.steadyMs() + 1, () => this.send({ kind: 'tick' }));
     }
   }
 
@@ -289,8 +290,8 @@
     return most >= HANDOVER_MACHINES && (machines.get(zone) ?? 0) <= most * HANDOVER_SHARE;
   }
 
-  private standDelayMs(): number {
-    return this.isFar(this.self.member, this.machinesByZone()) ? STAND_FAR_MS : 0;
+  private candidacyDelayMs(): number {
+    return this.isFar(this.self.member, this.machinesByZone()) ? CANDIDACY_FAR_MS : 0;
   }
 
   /** A leader far from the machines makes way for a controller among them that is heard of. */
@@ -311,23 +312,23 @@
     if (!better) return;
     this.nextHandOverMs = now + HANDOVER_PAUSE_MS;
     this.lose('handing over to a better placed controller');
-    this.makeWay();
+    this.stepDown();
   }
 
-  private makeWay(): void {
-    this.madeWayUntilMs = this.clock.steadyMs() + HANDOVER_AFTER_MS;
-    this.nextStandMs = this.madeWayUntilMs;
+  private stepDown(): void {
+    this.steppedDownUntilMs = this.clock.steadyMs() + HANDOVER_AFTER_MS;
+    this.nextCandidacyMs = this.steppedDownUntilMs;
   }
 
-  private maybeStand(): void {
+  private maybeBecomeCandidate(): void {
     const now = this.clock.steadyMs();
-    if (this.state !== 'following' || !this.mirror.isLoaded || now < this.nextStandMs) return;
+    if (this.state !== 'following' || !this.mirror.isLoaded || now < this.nextCandidacyMs) return;
     const row = this.mirror.get(LEADER_KEY);
     if (row) {
-      // A key that names us while we don't lead is our former self's, or a stand that was applied late.
+      // A key that names us while we don't lead is our former self's, or a candidacy that was applied late.
       // That process or attempt is surely over, so nobody has to wait for its lease to run out.
       if (this.leader() === this.self.member) {
-        this.nextStandMs = now + STATE_CALL_MS;
+        this.nextCandidacyMs = now + STATE_CALL_MS;
         void this.client.multi(
           [{ key: LEADER_KEY, stamp: row.stamp }],
           [{ key: LEADER_KEY, value: undefined }],
@@ -336,11 +337,11 @@
       return;
     }
     if (now < this.promisedUntilMs) return;
-    this.state = 'standing';
-    void this.stand();
+    this.state = 'candidate';
+    void this.campaign();
   }
 
-  private async stand(): Promise<void> {
+  private async campaign(): Promise<void> {
     try {
       const known = this.mirror.get(TERM_KEY);
       const number = (isObject(known?.value) ? Number(known.value.term) : 0) + 1;
@@ -356,18 +357,23 @@
           { key: TERM_KEY, value: { term: number } },
         ],
       );
-      this.send({ kind: 'stood', askedMs, hold, number, result });
+      this.send({ kind: 'candidacyEnded', askedMs, hold, number, result });
     } catch (error) {
-      this.log.info({ err: error }, 'could not stand');
-      this.send({ kind: 'standFailed' });
+      this.log.info({ err: error }, 'candidacy failed');
+      this.send({ kind: 'candidacyFailed' });
     }
   }
 
-  private onStood({ askedMs, hold, number, result }: Extract<Message, { kind: 'stood' }>): void {
+  private onCandidacyEnded({
+    askedMs,
+    hold,
+    number,
+    result,
+  }: Extract<Message, { kind: 'candidacyEnded' }>): void {
     if (result.outcome !== 'applied') {
       // An unclear stand may still be applied: nobody ever acts on it, and ending its lease removes it.
       void this.client.endLease(hold).catch(() => undefined);
-      this.follow(STAND_JITTER_MS);
+      this.follow(CANDIDACY_JITTER_MS);
       return;
     }
     const authority = new Authority();
@@ -423,7 +429,7 @@
     this.leading = undefined;
     this.round = undefined;
     this.log.info({ term: term.number, reason }, 'no longer leading');
-    this.follow(STAND_JITTER_MS);
+    this.follow(CANDIDACY_JITTER_MS);
     void this.client.endLease(hold).catch(() => undefined);
     this.events.lost();
   }
@@ -451,7 +457,7 @@
       this.channel.send(member, { kind: 'promise', id, term, given });
       return;
     }
-    const until = this.clock.steadyMs() + GRANT_MS * (1 + CLOCK_DRIFT) + GRANT_MARGIN_MS;
+    const until = this.clock.steadyMs() + PROMISE_MS * (1 + CLOCK_DRIFT) + PROMISE_MARGIN_MS;
     this.promisedUntilMs = Math.max(this.promisedUntilMs, until);
     this.channel.send(member, {
       kind: 'promise',
@@ -501,7 +507,7 @@
     const round = this.currentRound(message.id, message.term);
     if (!round || !message.given) return;
     if (round.takePromise(member))
-      this.leading!.term.authority.granted(round.askedMs, GRANT_MS, this.clock.steadyMs());
+      this.leading!.term.authority.extended(round.askedMs, PROMISE_MS, this.clock.steadyMs());
     this.learnFrom(round, member, round.takeExtent(member, message.informs));
   }
 
--- a/src/leadership/knowledge.ts
+++ b/src/leadership/knowledge.ts
@@ -1,7 +1,7 @@
 import {
   AUTHORITY_MARGIN_MS,
   CLOCK_DRIFT,
-  GRANT_MS,
+  PROMISE_MS,
   KNOWN_MARGIN_MS,
   LEASE_MARGIN_MS,
   RELAY_FRESH_MS,
@@ -45,6 +45,6 @@
    * cancellations: then only what they passed on a moment ago counts.
    */
   mayStart(nowMs: number, served: boolean): boolean {
-    return nowMs - this.throughMs < (served ? START_KNOWN_MS : GRANT_MS);
+    return nowMs - this.throughMs < (served ? START_KNOWN_MS : PROMISE_MS);
   }
 }
--- a/src/leadership/leader.ts
+++ b/src/leadership/leader.ts
@@ -34,7 +34,7 @@
   settings: Settings;
   term: Term;
   knowledge: Knowledge;
-  dependencies: Pick<Dependencies, 'standing'>;
+  dependencies: Pick<Dependencies, 'statusOf'>;
   /** Whether the state service answered our last call. */
   isServed: () => boolean;
   mirror: Mirror;
@@ -344,7 +344,7 @@
     const { job, node } = attempt;
     if (!job || !job.isOpen || !job.released || !node.recorded || !node.current || node.returning)
       return false;
-    if (job.isDependent && this.deps.dependencies.standing(job.uid) !== 'free') return false;
+    if (job.isDependent && this.deps.dependencies.statusOf(job.uid) !== 'free') return false;
     if (!this.deps.knowledge.mayStart(this.now(), this.deps.isServed())) return false;
     return this.recovery.isComplete || !job.inherited;
   }
@@ -459,13 +459,13 @@
   /** Whether jobs that it needs are not done yet: then it takes no part in anything. */
   private waits(job: Job): boolean {
     if (!job.isDependent || !job.isOpen) return false;
-    const standing = this.deps.dependencies.standing(job.uid);
-    if (standing === 'cancelled') this.store.cancel(job);
-    if (standing === 'free' && Number.isNaN(job.releasedMs)) {
+    const status = this.deps.dependencies.statusOf(job.uid);
+    if (status === 'cancelled') this.store.cancel(job);
+    if (status === 'free' && Number.isNaN(job.releasedMs)) {
       job.releasedMs = this.store.releasedMs(job);
       this.log.debug({ job: job.uid }, 'job released');
     }
-    return standing === 'waiting';
+    return status === 'waiting';
   }
 
   /** True when the job is over and nothing of it is left. */
--- a/src/leadership/peer-codec.ts
+++ b/src/leadership/peer-codec.ts
@@ -7,7 +7,7 @@
   /** From the leader: running tasks per job, for display. */
   | { kind: 'counts'; running: Record<string, number> }
   /**
-   * Leader to peer: promise not to stand, and pass on the cancellations that the leader's copy lacks: it is complete up
+   * Leader to peer: promise not to become a candidate, and pass on the cancellations that the leader's copy lacks: it is complete up
    * to the stamp `since`, and has read the peer's log up to `read`. A former version names neither.
    */
   | { kind: 'ask'; id: number; term: number; since?: WireInt; read?: LogPosition }
--- a/src/leadership/recovery.ts
+++ b/src/leadership/recovery.ts
@@ -124,7 +124,7 @@
     if (node.attempts.size > 0) this.deps.log.info({ node: node.name }, 'lease of machine ended');
     this.deps.ledger.fence(node);
     node.leaseEndMs = -Infinity;
-    node.greetedMs = -Infinity;
+    node.introducedMs = -Infinity;
     this.account(node);
     this.deps.changed();
   }
--- a/src/leadership/report-intake.ts
+++ b/src/leadership/report-intake.ts
@@ -1,7 +1,7 @@
 import type { Logger } from 'pino';
-import { GREET_FOR_MS } from '../constants.js';
+import { INTRODUCE_FOR_MS } from '../constants.js';
 import { encodeOrders, type Order, type Report } from '../fleet/codec.js';
-import { worthOf } from '../fleet/lease.js';
+import { classifyReport } from '../fleet/lease.js';
 import type { Ledger, Node, Resources } from '../fleet/ledger.js';
 import type { NodeRecords } from '../fleet/node-records.js';
 import type { HttpResponse, Respond } from '../http/message.js';
@@ -61,13 +61,13 @@
     const { deps } = this;
     const now = deps.nowMs();
     const known = deps.ledger.nodes.get(report.node);
-    const worth = worthOf(report.token, deps.term.number, {
+    const age = classifyReport(report.token, deps.term.number, {
       gone: deps.isGone(report.node),
       current: known?.current ?? false,
     });
-    if (worth === 'nothing') return respond(NOT_ANSWERED);
+    if (age === 'stale') return respond(NOT_ANSWERED);
     if (known) known.via = via;
-    if (worth === 'greet') return this.greet(known, received);
+    if (age === 'introduce') return this.introduce(known, received);
     const node = known ?? this.add(report, via, now);
     const isFirst = node.reportedMs === -Infinity;
     // An old report, delivered late: it is not answered with 200, as its worker must not count on it. Or the
@@ -114,13 +114,13 @@
    * Shows our token to a worker that does not know it yet, and stops what belongs to jobs that are over: leaders may
    * change faster than workers report. Nothing else is said, as the report may be a copy of long ago.
    */
-  private greet(node: Node | undefined, { report, respond, heldMs }: ReceivedReport): void {
+  private introduce(node: Node | undefined, { report, respond, heldMs }: ReceivedReport): void {
     const { deps } = this;
     const now = deps.nowMs();
     if (node) {
-      if (node.greetedMs === -Infinity) node.greetedMs = now;
+      if (node.introducedMs === -Infinity) node.introducedMs = now;
       // Answers do not reach it: its lease must run out for us too, or its tasks would be waited for without end.
-      if (now - node.greetedMs > GREET_FOR_MS) return respond(NOT_ANSWERED);
+      if (now - node.introducedMs > INTRODUCE_FOR_MS) return respond(NOT_ANSWERED);
       node.address = report.address;
       if (!node.recorded) deps.records.use(node);
       deps.changed();
--- a/src/leadership/worker-commands.ts
+++ b/src/leadership/worker-commands.ts
@@ -51,7 +51,7 @@
     if (attempt.state === 'planned' && attempt.direct === 'none') this.deps.ledger.unplan(attempt);
     else if (!attempt.stop || leewayS < attempt.stop.leewayS) {
       attempt.stop = { leewayS };
-      this.deps.ledger.untold.add(attempt.node);
+      this.deps.ledger.awaitingCommands.add(attempt.node);
       this.stopSentMs.delete(attempt);
     }
   }
@@ -74,7 +74,7 @@
 
   /** Sends what workers have not been told yet straight to them. */
   sendAll(now: number): void {
-    for (const node of this.deps.ledger.untold) this.send(node, now);
+    for (const node of this.deps.ledger.awaitingCommands) this.send(node, now);
   }
 
   private send(node: Node, now: number): void {
@@ -82,7 +82,7 @@
     if (!this.deps.term.authority.holds(now)) return;
     // Nothing planned and nothing to stop: the machine is told of again when there is.
     if (!hasCommands(node)) {
-      this.deps.ledger.untold.delete(node);
+      this.deps.ledger.awaitingCommands.delete(node);
       return;
     }
     const { orders, sent } = this.direct(node, now);
--- a/src/pipeline/dependencies.ts
+++ b/src/pipeline/dependencies.ts
@@ -33,7 +33,7 @@
 }
 
 /** `free`: nothing has to be done before it, or all of that is. `cancelled`: it or a job before it is. */
-export type Standing = 'free' | 'waiting' | 'cancelled';
+export type DependencyStatus = 'free' | 'waiting' | 'cancelled';
 
 interface Member {
   /** Whether its own value was seen; until then it is only named by others. */
@@ -71,7 +71,7 @@
     if (!isOpen) this.members.delete(uid);
   }
 
-  standing(uid: string): Standing {
+  statusOf(uid: string): DependencyStatus {
     const member = this.members.get(uid);
     if (!member) return 'free';
     if (member.letter === 'F') return 'cancelled';
--- a/src/placement/rent.ts
+++ b/src/placement/rent.ts
@@ -24,7 +24,7 @@
 }
 
 /** Room that is not there yet: a machine on its way, or that of a task about to end. */
-export interface Coming extends Offer {
+export interface IncomingCapacity extends Offer {
   free: Resources;
   /** Seconds until it can be used. */
   readyS: number;
@@ -53,10 +53,10 @@
  */
 export function planRentals(
   demands: Demand[],
-  coming: Coming[],
+  coming: IncomingCapacity[],
   market: Market,
   spares: Demand[] = [],
-  ready: Coming[] = [],
+  ready: IncomingCapacity[] = [],
 ): { plans: RentalPlan[]; kept: Set<Node> } {
   const pool = coming.map((node) => ({ ...node, free: { ...node.free } }));
   const plans = new Map<string, RentalPlan>();
@@ -71,11 +71,16 @@
   return { plans: [...plans.values()], kept };
 }
 
-function serve(demands: Demand[], pool: Coming[], plans: Map<string, RentalPlan>, market: Market): void {
+function serve(
+  demands: Demand[],
+  pool: IncomingCapacity[],
+  plans: Map<string, RentalPlan>,
+  market: Market,
+): void {
   for (const demand of demands) {
     const zones = new Map(demand.zones);
     let left = demand.count;
-    const take = (place: Coming): void => {
+    const take = (place: IncomingCapacity): void => {
       const count = Math.min(left, slots(demand.spec, place.free), zoneRoom(demand.spec, zones, place.zone));
       if (count <= 0) return;
       left -= count;
@@ -99,7 +104,7 @@
 }
 
 /** Whether room that is there later still serves: a machine on its way always, a busy one if the deadline allows. */
-function inTime(demand: Demand, room: Coming): boolean {
+function inTime(demand: Demand, room: IncomingCapacity): boolean {
   if (demand.shunsSpot && room.spot && !room.busy) return false;
   if (!room.busy) return true;
   if (demand.spec.kind === 'service' || demand.waitedS > PATIENCE_S) return false;
@@ -115,9 +120,9 @@
   zones: ReadonlyMap<string, number>,
   count: number,
   market: Market,
-  pool: Coming[],
+  pool: IncomingCapacity[],
   plans: Map<string, RentalPlan>,
-): Coming | undefined {
+): IncomingCapacity | undefined {
   const { spec } = demand;
   let best: { offer: Offer; type: MachineType; score: number } | undefined;
   for (const type of market.types) {
@@ -140,7 +145,7 @@
   }
   if (!best) return undefined;
   const { offer, type } = best;
-  const node: Coming = {
+  const node: IncomingCapacity = {
     ...offer,
     free: { cpus: type.cpus, accelerators: type.accelerators, memGb: type.memGb },
     readyS: type.bootS + START_EXTRA_S,
--- a/src/placement/renter.ts
+++ b/src/placement/renter.ts
@@ -5,7 +5,7 @@
 import type { Ledger, Node, Resources } from '../fleet/ledger.js';
 import type { Job } from '../pipeline/job.js';
 import type { Placer } from './placer.js';
-import { planRentals, type Coming, type Demand } from './rent.js';
+import { planRentals, type IncomingCapacity, type Demand } from './rent.js';
 import { addTo } from './preempt.js';
 import { slots } from './rules.js';
 import type { SpotLosses } from './spot-losses.js';
@@ -115,8 +115,8 @@
   }
 
   /** Room on ordinary machines that a live service could have at once: free, or of what it may stop. */
-  private ready(now: number): Coming[] {
-    const ready: Coming[] = [];
+  private ready(now: number): IncomingCapacity[] {
+    const ready: IncomingCapacity[] = [];
     for (const node of this.deps.ledger.nodes.values()) {
       if (node.spot || !node.recorded || !this.deps.health.isUsable(node, now)) continue;
       const free = { ...this.deps.ledger.free(node) };
@@ -161,12 +161,12 @@
   }
 
   /** Room on its way: machines that boot, and rentals without an answer yet. */
-  private coming(now: number): Coming[] {
-    const coming: Coming[] = [];
+  private coming(now: number): IncomingCapacity[] {
+    const coming: IncomingCapacity[] = [];
     for (const node of this.deps.ledger.nodes.values()) {
       if (node.returning || this.deps.health.isStuck(node, now)) continue;
       const { type, zone, spot, capacity } = node;
-      const arriving = node.greetedMs > -Infinity && (!node.recorded || !node.current);
+      const arriving = node.introducedMs > -Infinity && (!node.recorded || !node.current);
       if (this.deps.health.isBooting(node) || arriving) {
         const bootS = this.deps.types().get(type)?.bootS ?? 0;
         const readyS = arriving ? 1 : Math.max(1, bootS - (now - node.rentedMs) / 1000) + START_EXTRA_S;
--- a/test/dependencies.test.ts
+++ b/test/dependencies.test.ts
@@ -5,7 +5,7 @@
 import {
   Dependencies,
   isExecutable,
-  type Standing,
+  type DependencyStatus,
   type StoredMember,
 } from '../src/pipeline/dependencies.js';
 import type { Letter } from '../src/pipeline/pipeline.js';
@@ -55,7 +55,7 @@
 
 test('how a job stands follows from what is stored of it and of all before it, in whatever order that comes', () => {
   type Step = [uid: string, phase: StoredMember['phase'], needs?: string[]];
-  const cases: [name: string, steps: Step[], standings: Record<string, Standing>][] = [
+  const cases: [name: string, steps: Step[], standings: Record<string, DependencyStatus>][] = [
     ['alone', [['a', 'open']], { a: 'free' }],
     [
       'before it is open',
@@ -201,16 +201,16 @@
     const { dependencies, put } = setUp();
     for (const step of steps) put(...step);
     for (const [uid, standing] of Object.entries(standings))
-      assert.equal(dependencies.standing(uid), standing, `${name}: ${uid}`);
+      assert.equal(dependencies.statusOf(uid), standing, `${name}: ${uid}`);
   }
 });
 
 test('a list that can not be read is waited for', () => {
   const { dependencies, put } = setUp();
   dependencies.update('b', { phase: 'open', dependencies: undefined });
-  assert.equal(dependencies.standing('b'), 'waiting');
+  assert.equal(dependencies.statusOf('b'), 'waiting');
   put('b', 'open', []);
-  assert.equal(dependencies.standing('b'), 'free');
+  assert.equal(dependencies.statusOf('b'), 'free');
 });
 
 test('long chains and wide pipelines end without recursion, and leave nothing behind', () => {
@@ -222,11 +222,11 @@
   for (const name of names) put(name, 'open');
   put('wide', 'open', names);
   for (const name of names.slice(1)) put(name, 'done');
-  assert.equal(dependencies.standing('wide'), 'waiting');
+  assert.equal(dependencies.statusOf('wide'), 'waiting');
   put('w0', 'done');
-  assert.equal(dependencies.standing('wide'), 'free');
+  assert.equal(dependencies.statusOf('wide'), 'free');
   put('j0', 'cancelled');
-  assert.equal(dependencies.standing(`j${count - 1}`), 'cancelled');
+  assert.equal(dependencies.statusOf(`j${count - 1}`), 'cancelled');
   for (let i = 1; i < count; i++) put(`j${i}`, 'cancelled');
   put('wide', 'done');
   assert.equal((dependencies as unknown as { members: Map<string, unknown> }).members.size, 0);
--- a/test/election.test.ts
+++ b/test/election.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { pino } from 'pino';
-import { GRANT_ASK_MS, LEADER_TTL_MS, PROBE_MS, STATE_FAILING_MS } from '../src/constants.js';
+import { PROMISE_ASK_MS, LEADER_TTL_MS, PROBE_MS, STATE_FAILING_MS } from '../src/constants.js';
 import { Election, type Term } from '../src/leadership/election.js';
 import { Knowledge } from '../src/leadership/knowledge.js';
 import type { PeerMessage } from '../src/leadership/peer-codec.js';
@@ -99,7 +99,7 @@
     await clock.runUntil(STATE_FAILING_MS * 2);
     for (let id = 1; id <= promises.length; id++) {
       hear({ kind: 'ask', id, term: 6 });
-      await clock.runUntil(clock.steadyMs() + Math.max(GRANT_ASK_MS, PROBE_MS + 1));
+      await clock.runUntil(clock.steadyMs() + Math.max(PROMISE_ASK_MS, PROBE_MS + 1));
     }
     const given = sent.flatMap((message) => (message.kind === 'promise' ? [message.given] : []));
     assert.deepEqual(given, promises, probe);
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -5,13 +5,13 @@
   isNewer,
   leaseEndMs,
   unheardSession,
-  worthOf,
+  classifyReport,
   type Absence,
 } from '../src/fleet/lease.js';
 import {
   CANCELLATIONS_KEPT,
   CLOCK_DRIFT,
-  GRANT_MS,
+  PROMISE_MS,
   RELAY_FRESH_MS,
   START_KNOWN_MS,
 } from '../src/constants.js';
@@ -64,22 +64,22 @@
   const known = { gone: false, current: true };
   const fresh = { gone: false, current: false };
   const gone = { gone: true, current: false };
-  const cases: [token: number | bigint, machine: typeof known, worth: ReturnType<typeof worthOf>][] = [
-    [7, known, 'news'],
-    [7, fresh, 'news'],
+  const cases: [token: number | bigint, machine: typeof known, worth: ReturnType<typeof classifyReport>][] = [
+    [7, known, 'current'],
+    [7, fresh, 'current'],
     // A copy of an earlier term's report, or of a new worker's: the token is shown, nothing is learned.
-    [6, fresh, 'greet'],
-    [0, fresh, 'greet'],
+    [6, fresh, 'introduce'],
+    [0, fresh, 'introduce'],
     // One that showed our token already can't fall back: a late copy, or a worker that began anew.
-    [6, known, 'nothing'],
+    [6, known, 'stale'],
     // A machine that was deleted stays deleted, whatever its copies show.
-    [7, gone, 'nothing'],
-    [6, gone, 'nothing'],
+    [7, gone, 'stale'],
+    [6, gone, 'stale'],
     // It obeys a later term, and would drop our answer and yet be held here by it.
-    [8, known, 'nothing'],
-    [8n, fresh, 'nothing'],
+    [8, known, 'stale'],
+    [8n, fresh, 'stale'],
   ];
-  for (const [token, machine, worth] of cases) assert.equal(worthOf(token, 7, machine), worth);
+  for (const [token, machine, worth] of cases) assert.equal(classifyReport(token, 7, machine), worth);
 });
 
 test('a session that ended although it was answered shows that answers do not arrive', () => {
@@ -142,7 +142,7 @@
     const authority = new Authority();
     for (const [at, act, asked, holds] of steps) {
       if (act === 'renewed') authority.renewed(asked, 3000);
-      if (act === 'granted') authority.granted(asked, 3000, at);
+      if (act === 'granted') authority.extended(asked, 3000, at);
       if (act === 'ended') authority.ended();
       assert.equal(authority.holds(at), holds, `${name} at ${at}`);
     }
@@ -178,7 +178,7 @@
     [[1_000], 1_500, true, [true, true]],
     // A later word about an earlier moment takes nothing away.
     [[5_000, 1_000], 5_100, true, [true, true]],
-    [[1_000], 1_000 + GRANT_MS, true, [true, false]],
+    [[1_000], 1_000 + PROMISE_MS, true, [true, false]],
     [[1_000], 1_000 + START_KNOWN_MS, true, [false, false]],
     [[1_000], 20_999, true, [false, false]],
     [[1_000], 21_000, false, [false, false]],
