--- a/scripts/profile/load.ts
+++ b/scripts/profile/load.ts
@@ -3,12 +3,13 @@
  * stand-ins of the state service, the cloud and the workers. `report.ts` makes tables of what it leaves behind.
  */
 import { spawn, type ChildProcess } from 'node:child_process';
-import { mkdirSync, writeFileSync } from 'node:fs';
+import { mkdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { Command } from 'commander';
 import { pino } from 'pino';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { parse } from 'smol-toml';
 import { systemClock } from '../../src/clock.js';
 import { SocketCaller } from '../../src/http/client.js';
 import type { HttpCaller } from '../../src/http/message.js';
@@ -23,11 +24,12 @@
 const CLOUD_ADDRESS = '127.0.0.1:23791';
 const FIRST_PORT = 23800;
 const ZONES = ['east', 'west'];
-const REPORT_S = 1.5;
-const LEASE_S = 14;
-const CANCEL_S = 35;
+const REPORT_S = 2.5;
+const LEASE_S = 15;
+const CANCEL_S = 40;
+const MACHINE_CPUS = 4;
 /** No loaded machine answers slower than this; a stand-in that is late would be measured as our delay. */
-const MAX_STAND_IN_CONNECTIONS = 5000;
+const MAX_STAND_IN_CONNECTIONS = 50_000;
 const POLL_EVERY_S = 5;
 
 interface Options {
@@ -66,7 +68,7 @@
 const userAddress = (index: number): string => `127.0.0.1:${FIRST_PORT + 2 * index}`;
 const peerAddress = (index: number): string => `127.0.0.1:${FIRST_PORT + 2 * index + 1}`;
 
-function settingsFile(index: number, controllers: number): string {
+function settingsFile(index: number, controllers: number, machines: number): string {
   const seeds = Array.from({ length: controllers }, (_, other) => other).filter((other) => other !== index);
   const seedTables = seeds.map(
     (other) =>
@@ -86,8 +88,8 @@
 clock_error_ms = 100.0
 [[deployment.teams]]
 name = "blue"
-cpus = 400.0
-cpus_max = 4000.0
+cpus = ${(machines * MACHINE_CPUS) / 2}.0
+cpus_max = ${machines * MACHINE_CPUS}.0
 gpus = 0.0
 gpus_max = 0.0
 [deployment.workers]
@@ -95,28 +97,43 @@
 lease_s = ${LEASE_S}.0
 cancel_s = ${CANCEL_S}.0
 [deployment.state]
-rps = 200.0
-write_rps = 80.0
+rps = 400.0
+write_rps = 150.0
 value_kb = 8.0
 txn_ops = 12
 [deployment.cloud]
-rps = 6.0
+rps = 8.0
 list_lag_s = 5.0
 [deployment.quota]
-core_share = 0.043
-mem_mb = 108.0
-max_connections = 900
+core_share = 0.2
+mem_mb = 250.0
+max_connections = ${Math.max(900, Math.ceil(machines * 1.6))}
 `;
 }
 
-function startController(index: number, controllers: number, out: string): ChildProcess {
+/** The flags of node with which the deploy file starts a controller. */
+function deployFlags(): string[] {
+  const words = String(parse(readFileSync('deploy/service.toml', 'utf8')).run).split(' ');
+  return words.slice(1, words.indexOf('target/main.cjs'));
+}
+
+function startController(index: number, controllers: number, machines: number, out: string): ChildProcess {
   const file = join(out, `${memberName(index)}.toml`);
-  writeFileSync(file, settingsFile(index, controllers));
+  writeFileSync(file, settingsFile(index, controllers, machines));
   const hook = join(import.meta.dirname, 'hook.cjs');
   const profile = ['--cpu-prof', `--cpu-prof-dir=${out}`, `--cpu-prof-name=${memberName(index)}.cpuprofile`];
   return spawn(
     process.execPath,
-    [...profile, '--cpu-prof-interval=250', '--require', hook, 'target/main.cjs', '--config', file],
+    [
+      ...deployFlags(),
+      ...profile,
+      '--cpu-prof-interval=250',
+      '--require',
+      hook,
+      'target/main.cjs',
+      '--config',
+      file,
+    ],
     {
       stdio: ['ignore', 'ignore', 'inherit'],
       env: {
@@ -208,7 +225,12 @@
   const machines = Number(options.machines);
   mkdirSync(options.out, { recursive: true });
   const state = new SimStateService(systemClock, random);
-  const rules = new SimRules(() => systemClock.steadyMs(), new Map([['blue', 4000]]), CANCEL_S, 8);
+  const rules = new SimRules(
+    () => systemClock.steadyMs(),
+    new Map([['blue', machines * MACHINE_CPUS]]),
+    CANCEL_S,
+    8,
+  );
   const targets = Array.from({ length: controllers }, (_, i) => ({
     member: memberName(i),
     address: userAddress(i),
@@ -217,7 +239,7 @@
   let booted = 0;
   const cloud = new SimCloud(
     systemClock,
-    [{ sku: 'm4', cpus: 4, memGb: 16, bootS: 5, price: 0.2 }],
+    [{ sku: 'm4', cpus: MACHINE_CPUS, memGb: 16, bootS: 5, price: 0.2 }],
     ZONES,
     machines,
     (place) => {
@@ -238,7 +260,7 @@
   );
   network.attach('state', STATE_ADDRESS, (...args) => state.handle(...args));
   network.attach('cloud', CLOUD_ADDRESS, (...args) => cloud.handle(...args));
-  const processes = targets.map((_, index) => startController(index, controllers, options.out));
+  const processes = targets.map((_, index) => startController(index, controllers, machines, options.out));
   process.on('exit', () => processes.forEach((child) => child.kill('SIGKILL')));
   const users = new Users(rules, controllers);
   systemClock.after(4000, () => {
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -243,6 +243,10 @@
 export const PASS_SPACING_MS = 60;
 /** ratio: passes take at most one part in this many of the processor; a slow controller looks less often. */
 export const PASS_REST = 4;
+/** ms: between two looks at all machines; silence, notices and leases move over seconds. */
+export const FLEET_REVIEW_SPACING_MS = 250;
+/** ratio: these looks take at most one part in this many of the processor; they grow with the fleet. */
+export const FLEET_REVIEW_REST = 20;
 /** ms: renting, and stopping others for arrays, are looked at this often; machines boot for many seconds. */
 export const RENT_SPACING_MS = 500;
 /** ms: a pass happens at least this often. */
--- a/src/fleet/ledger.ts
+++ b/src/fleet/ledger.ts
@@ -1,7 +1,7 @@
 import type { Job } from '../pipeline/job.js';
 import type { WireInt } from '../wire/json.js';
 import type { ExitCause, Order, Report, TaskReport } from './codec.js';
-import { UNHEARD_ANSWERS } from '../constants.js';
+import { EPSILON, UNHEARD_ANSWERS } from '../constants.js';
 import { absentMeans, isNewer, leaseEndMs, unheardSession, type DirectStart } from './lease.js';
 
 export interface Resources {
@@ -31,6 +31,8 @@
 
 export interface Node {
   readonly name: string;
+  /** Counts the machines as they become known: the oldest are filled first, so that others become idle. */
+  readonly order: number;
   address: string;
   /** The controller through which its last report in this term came; '': none did. */
   via: string;
@@ -89,6 +91,9 @@
   readonly teams = new Map<string, Resources>();
   /** Machines with something planned or to be stopped, of which their workers may not know. */
   readonly awaitingCommands = new Set<Node>();
+  /** Machines on which something is free; of a large fleet most are full. */
+  readonly withRoom = new Set<Node>();
+  private nodeCount = 0;
 
   constructor(
     private readonly leaseS: number,
@@ -102,6 +107,7 @@
   ): Node {
     const node: Node = {
       ...fields,
+      order: ++this.nodeCount,
       via: '',
       used: { ...NOTHING },
       attempts: new Map(),
@@ -124,6 +130,7 @@
       failedJobs: new Set(),
     };
     this.nodes.set(node.name, node);
+    this.noteRoom(node);
     return node;
   }
 
@@ -141,6 +148,13 @@
     this.releaseAll(node);
     this.nodes.delete(node.name);
     this.awaitingCommands.delete(node);
+    this.withRoom.delete(node);
+  }
+
+  /** The catalogue tells what machines of its type have. */
+  setCapacity(node: Node, capacity: Resources): void {
+    node.capacity = capacity;
+    this.noteRoom(node);
   }
 
   /** Its lease has surely ended: every task of its session is gone. */
@@ -211,6 +225,13 @@
     };
   }
 
+  private noteRoom(node: Node): void {
+    const { capacity, used } = node;
+    const isFree = capacity.cpus - used.cpus > EPSILON || capacity.accelerators - used.accelerators > EPSILON;
+    if (isFree && this.nodes.get(node.name) === node) this.withRoom.add(node);
+    else this.withRoom.delete(node);
+  }
+
   usage(team: string): Resources {
     return this.teams.get(team) ?? NOTHING;
   }
@@ -298,6 +319,7 @@
     node.attempts.set(attemptKey(uid, index, number), attempt);
     if (state === 'planned') this.awaitingCommands.add(node);
     add(node.used, size, 1);
+    this.noteRoom(node);
     if (job) {
       const team = this.teams.get(job.spec.team) ?? { ...NOTHING };
       this.teams.set(job.spec.team, team);
@@ -310,6 +332,7 @@
 
   private unuse(attempt: Attempt): void {
     add(attempt.node.used, attempt.size, -1);
+    this.noteRoom(attempt.node);
     if (!attempt.job) return;
     add(this.teams.get(attempt.job.spec.team)!, attempt.size, -1);
     attempt.job.unbind(attempt, attempt.node.zone);
--- a/src/leadership/leader.ts
+++ b/src/leadership/leader.ts
@@ -2,15 +2,20 @@
 import { Actor } from '../actor.js';
 import type { Clock } from '../clock.js';
 import { Cloud, type CloudEvent } from '../cloud/cloud.js';
-import { PASS_EVERY_MS, PASS_REST, PASS_SPACING_MS, STARVED_MS } from '../constants.js';
+import {
+  FLEET_REVIEW_REST,
+  FLEET_REVIEW_SPACING_MS,
+  PASS_EVERY_MS,
+  PASS_REST,
+  PASS_SPACING_MS,
+} from '../constants.js';
 import type { ExitCause } from '../fleet/codec.js';
 import { Health } from '../fleet/health.js';
 import { Ledger, type Attempt } from '../fleet/ledger.js';
 import { NodeRecords, type GroupEnd } from '../fleet/node-records.js';
 import type { HttpCaller } from '../http/message.js';
 import type { Dependencies } from '../pipeline/dependencies.js';
-import type { Job } from '../pipeline/job.js';
-import { byRelease, withinGuarantee } from '../placement/order.js';
+import { PacedTask } from '../paced-task.js';
 import { Placer } from '../placement/placer.js';
 import { Renter } from '../placement/renter.js';
 import { SpotLosses } from '../placement/spot-losses.js';
@@ -26,6 +31,7 @@
 import { JobStore, type StoreEnd } from './job-store.js';
 import type { Knowledge } from './knowledge.js';
 import { Recovery, type LeaseCheckEnd } from './recovery.js';
+import { SchedulingPass } from './scheduling-pass.js';
 import { ReportIntake, type ReceivedReport } from './report-intake.js';
 import { WorkerCommands, type CommandCallEnd } from './worker-commands.js';
 
@@ -78,17 +84,25 @@
   private readonly upkeep: FleetUpkeep;
   private readonly limits: Map<string, TeamLimit>;
   private readonly startedMs: number;
-  private passTimer: (() => void) | undefined;
-  private passDueMs = Infinity;
-  private lastPassMs = -Infinity;
-  private passTookMs = 0;
+  private readonly scheduling: SchedulingPass;
+  private readonly pass: PacedTask;
+  private readonly review: PacedTask;
 
   constructor(private readonly deps: LeaderDeps) {
     super(deps.log, deps.onFailure);
     const { settings, clock, term, mirror, log } = deps;
     const nowMs = (): number => clock.steadyMs();
-    const changed = (): void => this.passSoon();
+    const changed = (): void => this.pass.soon();
     this.startedMs = nowMs();
+    this.pass = new PacedTask(clock, { spacingMs: PASS_SPACING_MS, rest: PASS_REST }, () =>
+      this.send({ kind: 'pass' }),
+    );
+    // Only ever run in a pass, which comes at least once a second.
+    this.review = new PacedTask(
+      clock,
+      { spacingMs: FLEET_REVIEW_SPACING_MS, rest: FLEET_REVIEW_REST },
+      () => undefined,
+    );
     this.limits = new Map(settings.teams.map((team) => [team.name, team]));
     this.ledger = new Ledger(settings.leaseS, (uid) => this.store.jobs.get(uid), {
       exited: (attempt, cause) => this.onExited(attempt, cause),
@@ -175,9 +189,21 @@
       account: (node) => this.recovery.account(node),
       changed,
     });
+    this.scheduling = new SchedulingPass({
+      store: this.store,
+      dependencies: deps.dependencies,
+      recovery: this.recovery,
+      records: this.records,
+      commands: this.commands,
+      placer: this.placer,
+      renter: this.renter,
+      limits: this.limits,
+      clock,
+      log,
+    });
     this.recovery.load(this.records, capacityOf);
     this.cloud.send({ kind: 'tick' });
-    this.passSoon();
+    this.pass.soon();
     log.info({ jobs: this.store.jobs.size, unaccounted: this.recovery.unaccountedCount }, 'leader ready');
   }
 
@@ -214,8 +240,9 @@
   }
 
   private createPlacer(): Placer {
-    const { term, clock, log } = this.deps;
+    const { settings, term, clock, log } = this.deps;
     return new Placer({
+      zones: settings.zones,
       ledger: this.ledger,
       health: this.health,
       jobs: this.store.jobs,
@@ -250,7 +277,7 @@
   override stop(): void {
     super.stop();
     this.cloud.stop();
-    this.passTimer?.();
+    this.pass.stop();
   }
 
   /** Running tasks per job, for display. */
@@ -278,14 +305,14 @@
         return this.commands.onCallEnded(message.end);
       case 'stored':
         this.store.onStored(message);
-        return this.passSoon();
+        return this.pass.soon();
       case 'recorded':
         this.records.onWritten(message.end);
-        return this.passSoon();
+        return this.pass.soon();
       case 'leaseChecked':
         return this.recovery.onLeaseChecked(message.end);
       case 'pass':
-        return this.pass();
+        return this.pass.run((now) => this.runPass(now));
     }
   }
 
@@ -297,7 +324,7 @@
     if (isKeptKey(change.key)) this.recovery.onRegistration(change);
     if (isJobKey(change.key)) {
       if (change.value !== undefined) this.store.take(change.key, change.value, change.stamp);
-      this.passSoon();
+      this.pass.soon();
     }
   }
 
@@ -307,7 +334,7 @@
         const row = this.deps.mirror.get(key);
         if (row) this.send({ kind: 'changed', change: row });
       },
-      () => this.passSoon(),
+      () => this.pass.soon(),
     );
   }
 
@@ -330,14 +357,14 @@
     } else if (cause === 'no_such' || cause === 'full') {
       job.notBeforeMs = Math.max(job.notBeforeMs, now + this.deps.settings.reportS * 1000);
     }
-    this.passSoon();
+    this.pass.soon();
   }
 
   private onReleased(attempt: Attempt): void {
     if (attempt.state !== 'planned')
       this.log.info({ task: `${attempt.uid}/${attempt.index}`, node: attempt.node.name }, 'task lost');
     this.commands.forget(attempt);
-    this.passSoon();
+    this.pass.soon();
   }
 
   private mayStart(attempt: Attempt): boolean {
@@ -354,7 +381,8 @@
     switch (event.kind) {
       case 'catalog':
         this.catalogue.update(event.types);
-        for (const node of this.ledger.nodes.values()) node.capacity = this.catalogue.capacityOf(node.type);
+        for (const node of this.ledger.nodes.values())
+          this.ledger.setCapacity(node, this.catalogue.capacityOf(node.type));
         return;
       case 'rented':
         this.onRented(event, now);
@@ -370,7 +398,7 @@
         this.renter.listed = true;
         this.upkeep.onListed(event, now);
     }
-    this.passSoon();
+    this.pass.soon();
   }
 
   private onRented({ rental, names }: Extract<CloudEvent, { kind: 'rented' }>, now: number): void {
@@ -384,103 +412,30 @@
     this.log.info({ ...offer, names }, 'machines rented');
   }
 
-  private passSoon(): void {
-    const due = Math.max(
-      this.now(),
-      this.lastPassMs + Math.max(PASS_SPACING_MS, this.passTookMs * PASS_REST),
-    );
-    if (due >= this.passDueMs) return;
-    this.schedulePass(due);
-  }
-
-  private schedulePass(atMs: number): void {
-    this.passTimer?.();
-    this.passDueMs = atMs;
-    this.passTimer = this.deps.clock.after(atMs - this.now(), () => this.send({ kind: 'pass' }));
-  }
-
-  private pass(): void {
-    const now = this.now();
-    this.passDueMs = Infinity;
+  /** One round of decisions: reviews the fleet if that is due, then schedules and sends commands. */
+  private runPass(now: number): void {
     // Without authority it hears no machine, and another may lead: what it would take for silent and return runs on.
     if (!this.deps.term.authority.holds(now)) {
-      this.schedulePass(now + PASS_EVERY_MS);
+      this.pass.atLatest(now + PASS_EVERY_MS);
       return;
     }
-    this.health.look(now);
-    this.upkeep.checkNodes(now);
-    this.schedule(now);
-    this.upkeep.returnUnused(now);
+    if (this.review.isDue(now)) this.review.run((startedMs) => this.reviewFleet(startedMs));
+    this.scheduling.run(now);
     this.commands.sendAll(now);
     if (this.commands.needsNewTerm(now)) this.deps.onFailure(undefined);
-    if (this.health.isDeaf(now)) {
-      this.log.info('most machines are not heard of: making way');
-      this.deps.onFailure(undefined);
-      return;
-    }
-    this.lastPassMs = now;
-    this.passTookMs = this.now() - now;
+    if (this.isStopped) return;
     const groupsMs = Math.max(this.records.waitMs(now), PASS_SPACING_MS);
-    this.schedulePass(Math.min(this.passDueMs, now + Math.min(PASS_EVERY_MS, groupsMs)));
+    this.pass.atLatest(now + Math.min(PASS_EVERY_MS, groupsMs));
   }
 
-  /** Places what waits, rents what is lacking and makes room, in the order of release. */
-  private schedule(now: number): void {
-    const open = this.openJobs();
-    const within = withinGuarantee(open, this.limits);
-    const wallMs = this.deps.clock.wallMs();
-    const due = new Map(open.map((job) => [job, job.dueMs(wallMs)]));
-    open.sort(
-      byRelease(
-        within,
-        (job) => now - job.starvingSinceMs > STARVED_MS,
-        (job) => due.get(job)!,
-      ),
-    );
-    const waiting = this.placer.place(open, now);
-    for (const job of open) this.store.store(job);
-    this.records.flush(now);
+  /** Looks at each machine: silence, notices and leases move over seconds, and passes come several times a second. */
+  private reviewFleet(now: number): void {
+    this.health.look(now);
+    this.upkeep.checkNodes(now);
     this.upkeep.countSpotUse(now);
-    this.renter.rent(waiting, now);
-    this.placer.preempt(open, waiting, within, now);
-  }
-
-  /** The jobs that take part in this pass; what is over and has left nothing behind is forgotten. */
-  private openJobs(): Job[] {
-    const open: Job[] = [];
-    for (const job of this.store.jobs.values()) {
-      if (this.waits(job)) continue;
-      const isOver = this.checkJob(job);
-      if (!isOver && job.isOpen) open.push(job);
-    }
-    return open;
-  }
-
-  /** Whether jobs that it needs are not done yet: then it takes no part in anything. */
-  private waits(job: Job): boolean {
-    if (!job.isDependent || !job.isOpen) return false;
-    const status = this.deps.dependencies.statusOf(job.uid);
-    if (status === 'cancelled') this.store.cancel(job);
-    if (status === 'free' && Number.isNaN(job.releasedMs)) {
-      job.releasedMs = this.store.releasedMs(job);
-      this.log.debug({ job: job.uid }, 'job released');
-    }
-    return status === 'waiting';
-  }
-
-  /** True when the job is over and nothing of it is left. */
-  private checkJob(job: Job): boolean {
-    if (job.isOpen) {
-      const ageS = (this.deps.clock.wallMs() - job.stored.acceptedMs) / 1000;
-      const end = job.settle(ageS);
-      if (end === 'acceptable') job.finishedMs = this.deps.clock.wallMs();
-      if (end === 'expired') this.log.info({ job: job.uid }, 'pipeline expired, successor adopts its tasks');
-      if (end === 'acceptable') for (const attempt of job.bound.values()) this.commands.stop(attempt, 0);
-      if (job.isOpen) return false;
-    }
-    if (this.recovery.isComplete || job.phase === 'done') this.store.store(job);
-    const left = job.bound.size > 0 || job.writing || job.needsWrite;
-    if (!left) this.store.jobs.delete(job.uid);
-    return !left;
+    this.upkeep.returnUnused(now);
+    if (!this.health.isDeaf(now)) return;
+    this.log.info('most machines are not heard of: making way');
+    this.deps.onFailure(undefined);
   }
 }
--- /dev/null
+++ b/src/paced-task.ts
@@ -0,0 +1,62 @@
+import type { Clock } from './clock.js';
+
+/** How often a piece of work may run. */
+export interface Pace {
+  /** ms: least time between the beginnings of two runs. */
+  spacingMs: number;
+  /** ratio: the time of a run is followed by so many times as much until the next one may begin. */
+  rest: number;
+}
+
+/**
+ * Decides when a piece of work that everything asks for runs next: requests in between are taken together, and a slow
+ * controller runs it less often, so that it never takes more than its share of the processor.
+ */
+export class PacedTask {
+  private cancelTimer: (() => void) | undefined;
+  private dueMs = Infinity;
+  private startedMs = -Infinity;
+  private tookMs = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly pace: Pace,
+    /** The work is due; its owner calls `run` when its mailbox comes to it. */
+    private readonly due: () => void,
+  ) {}
+
+  /** Asks for a run as soon as the pace allows. */
+  soon(): void {
+    this.atLatest(Math.max(this.clock.steadyMs(), this.earliestMs));
+  }
+
+  /** Asks for a run at this steady ms, or before it. */
+  atLatest(atMs: number): void {
+    if (atMs >= this.dueMs) return;
+    this.cancelTimer?.();
+    this.dueMs = atMs;
+    this.cancelTimer = this.clock.after(atMs - this.clock.steadyMs(), this.due);
+  }
+
+  /** Whether the pace allows a run now; for work that is done when something else runs. */
+  isDue(now: number): boolean {
+    return now >= this.earliestMs;
+  }
+
+  /** Runs the work and measures it. */
+  run(work: (now: number) => void): void {
+    const now = this.clock.steadyMs();
+    this.dueMs = Infinity;
+    this.startedMs = now;
+    work(now);
+    this.tookMs = this.clock.steadyMs() - now;
+  }
+
+  stop(): void {
+    this.cancelTimer?.();
+  }
+
+  private get earliestMs(): number {
+    return this.startedMs + Math.max(this.pace.spacingMs, this.tookMs * this.pace.rest);
+  }
+}
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -37,5 +37,7 @@
     const score = failed * 1e6 + wrongKind * 1e4 + fetchS(node, spec) * 10 + (free.cpus - spec.cpus);
     ranked.push({ room, score });
   }
-  return ranked.sort((a, b) => a.score - b.score).map(({ room }) => room);
+  return ranked
+    .sort((a, b) => a.score - b.score || a.room.node.order - b.room.node.order)
+    .map(({ room }) => room);
 }
--- /dev/null
+++ b/src/placement/lacking-room.ts
@@ -0,0 +1,32 @@
+import type { JobSpec } from '../state/records.js';
+import type { Room } from './choose.js';
+import { allowsPlace, fits } from './rules.js';
+
+/** Whether a task could run on the machine as far as its type, zone, kind and free room go. */
+export function couldHold(spec: JobSpec, { node, free }: Room): boolean {
+  return fits(spec, free) && allowsPlace(spec, node);
+}
+
+/**
+ * Sizes and places for which one pass found no room. Room only shrinks during a pass, so another task that needs as
+ * much in the same places needs no look at the machines: of hundreds of waiting jobs most are alike.
+ */
+export class LackingRoom {
+  private readonly sizes = new Map<string, JobSpec[]>();
+
+  /** No machine could hold a task of this job. */
+  note(spec: JobSpec): void {
+    const key = placesOf(spec);
+    const known = this.sizes.get(key);
+    if (known) known.push(spec);
+    else this.sizes.set(key, [spec]);
+  }
+
+  /** Whether it is known already that no machine can hold a task of this job. */
+  covers(spec: JobSpec): boolean {
+    return this.sizes.get(placesOf(spec))?.some((smaller) => fits(smaller, spec)) ?? false;
+  }
+}
+
+const placesOf = ({ types, zone, spot }: JobSpec): string =>
+  `${types?.join(',') ?? ''}/${zone ?? ''}/${spot}`;
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -15,6 +15,8 @@
 import type { Job } from '../pipeline/job.js';
 import { rankRooms, type Room } from './choose.js';
 import { addTo, rankClearings } from './preempt.js';
+import { PreemptionLook, type Claim } from './preemption-look.js';
+import { couldHold, LackingRoom } from './lacking-room.js';
 import { allowsZone, fits, teamRoom, type TeamLimit } from './rules.js';
 
 export interface PlacerDeps {
@@ -25,6 +27,7 @@
   /** Number of the leader's term. */
   term: number;
   types: () => ReadonlyMap<string, MachineType>;
+  zones: readonly string[];
   /** Whether every machine of earlier terms is accounted for. */
   recovered: () => boolean;
   wallMs: () => number;
@@ -46,13 +49,17 @@
   /** Looks at each machine and each job once, however many tasks wait. Returns the jobs that still wait. */
   place(open: Job[], now: number): Job[] {
     this.countUnknown();
-    let rooms = this.rooms(now).filter(hasRoom);
+    let rooms = this.rooms(this.deps.ledger.withRoom, now);
+    const lacking = new LackingRoom();
     const waiting: Job[] = [];
     let starts = 0;
+    const mostStarts = Math.max(STARTS_PER_PASS, rooms.length);
     for (const job of open) {
       const held = now < job.notBeforeMs || (!this.deps.recovered() && job.inherited);
-      const most = held ? 0 : Math.min(this.teamRoomOf(job), STARTS_PER_PASS - starts);
-      const started = most > 0 && rooms.length > 0 ? this.fill(job, rooms, most, now) : 0;
+      const most = held ? 0 : Math.min(this.teamRoomOf(job), mostStarts - starts);
+      const looks = most > 0 && rooms.length > 0 && !lacking.covers(job.spec);
+      const started = looks ? this.fill(job, rooms, most, now) : 0;
+      if (looks && started === 0 && !rooms.some((room) => couldHold(job.spec, room))) lacking.note(job.spec);
       if (started > 0) rooms = rooms.filter(hasRoom);
       starts += started;
       if (job.pending > 0 && !held) {
@@ -67,9 +74,9 @@
     return waiting;
   }
 
-  private rooms(now: number): Room[] {
+  private rooms(nodes: Iterable<Node>, now: number): Room[] {
     const rooms: Room[] = [];
-    for (const node of this.deps.ledger.nodes.values()) {
+    for (const node of nodes) {
       if (node.recorded && this.deps.health.isUsable(node, now))
         rooms.push({ node, free: this.deps.ledger.free(node) });
     }
@@ -150,26 +157,31 @@
     // Live services are looked at in every pass, the rest now and then.
     const all = now - this.preemptedMs >= RENT_SPACING_MS;
     if (all) this.preemptedMs = now;
+    const look = new PreemptionLook(open, (job, victim) => this.mayPreempt(job, victim, within));
     let rooms: Room[] | undefined;
     for (const job of waiting) {
       if (job.rank !== 'prod' && !all) continue;
       const afterMs = job.rank === 'prod' ? PREEMPT_PROD_AFTER_MS : PREEMPT_AFTER_MS;
       if (now - job.waitingSinceMs < afterMs) continue;
-      const victims = new Set(open.filter((v) => v.bound.size > 0 && this.mayPreempt(job, v, within)));
-      if (victims.size > 0) this.clear(job, victims, (rooms ??= this.rooms(now)), now);
+      const claim = look.claimOf(job, within.has(job));
+      if (claim.victims.size === 0) continue;
+      rooms ??= this.rooms(this.deps.ledger.nodes.values(), now);
+      this.clear(job, claim, rooms, now);
     }
   }
 
-  private clear(job: Job, stoppable: ReadonlySet<Job>, rooms: Room[], now: number): void {
+  private clear(job: Job, claim: Claim, rooms: Room[], now: number): void {
     let left = Math.min(job.pending, this.teamRoomOf(job));
+    if (left <= 0) return;
     const zones = new Map(job.zones);
     const clearings = rankClearings(
       job,
-      rooms,
+      rooms.filter(({ node }) => !claim.lacksRoomIn(node.zone, job.spec)),
       (n) => this.fetchS(n, job),
-      (v) => stoppable.has(v),
+      (v) => claim.victims.has(v),
       (v) => this.stopLossS(v, now),
     );
+    claim.noteZonesWithout(job, clearings, this.deps.zones);
     for (const { room, victims } of clearings) {
       if (left-- <= 0) return;
       const { zone } = room.node;
--- a/src/placement/rent.ts
+++ b/src/placement/rent.ts
@@ -1,4 +1,4 @@
-import { PATIENCE_S, START_EXTRA_S } from '../constants.js';
+import { EPSILON, PATIENCE_S, START_EXTRA_S } from '../constants.js';
 import type { MachineType, Offer } from '../cloud/codec.js';
 import type { Node, Resources } from '../fleet/ledger.js';
 import type { JobSpec } from '../state/records.js';
@@ -58,25 +58,57 @@
   spares: Demand[] = [],
   ready: IncomingCapacity[] = [],
 ): { plans: RentalPlan[]; kept: Set<Node> } {
-  const pool = coming.map((node) => ({ ...node, free: { ...node.free } }));
+  const pool = new CapacityPool(coming);
   const plans = new Map<string, RentalPlan>();
   serve(demands, pool, plans, market);
   // Spare room comes last; it counts what could be had at once, and that is then kept.
-  const spare = [
-    ...ready.map((node) => ({ ...node, free: { ...node.free } })),
-    ...pool.filter((c) => !c.busy),
-  ];
+  const spare = new CapacityPool([...ready, ...pool.arriving]);
   serve(spares, spare, plans, market);
-  const kept = new Set(spare.filter((c) => c.taken).flatMap((c) => (c.node ? [c.node] : [])));
+  const kept = new Set(spare.arriving.filter((c) => c.taken).flatMap((c) => (c.node ? [c.node] : [])));
   return { plans: [...plans.values()], kept };
 }
 
-function serve(
-  demands: Demand[],
-  pool: IncomingCapacity[],
-  plans: Map<string, RentalPlan>,
-  market: Market,
-): void {
+const isUsedUp = ({ free }: IncomingCapacity): boolean =>
+  free.cpus <= EPSILON && free.accelerators <= EPSILON;
+
+/** Copies of the room that is to come, in the order in which demands are counted on it. */
+class CapacityPool {
+  /** Room of running tasks, soonest first. */
+  private busy: IncomingCapacity[];
+  /** Machines on their way, and those that are there; they stay in the list when nothing of them is left. */
+  readonly arriving: IncomingCapacity[];
+  private open: IncomingCapacity[];
+
+  constructor(coming: IncomingCapacity[]) {
+    const copies = coming.map((each) => ({ ...each, free: { ...each.free } }));
+    this.busy = copies.filter((each) => each.busy).sort((a, b) => a.readyS - b.readyS);
+    this.arriving = copies.filter((each) => !each.busy);
+    this.open = [...this.arriving];
+  }
+
+  /** What a demand may be counted on: rooms of running tasks first, as far as they end in time. */
+  *candidates(demand: Demand): Iterable<IncomingCapacity> {
+    const busyUntilS = latestEndS(demand);
+    for (const each of this.busy) {
+      if (each.readyS > busyUntilS) break;
+      yield each;
+    }
+    yield* this.open;
+  }
+
+  add(each: IncomingCapacity): void {
+    this.arriving.push(each);
+    this.open.push(each);
+  }
+
+  /** Lets go of what is used up, so that the next of hundreds of demands need not pass over it again. */
+  compact(): void {
+    this.busy = this.busy.filter((each) => !isUsedUp(each));
+    this.open = this.open.filter((each) => !isUsedUp(each));
+  }
+}
+
+function serve(demands: Demand[], pool: CapacityPool, plans: Map<string, RentalPlan>, market: Market): void {
   for (const demand of demands) {
     const zones = new Map(demand.zones);
     let left = demand.count;
@@ -91,24 +123,30 @@
       zones.set(place.zone, (zones.get(place.zone) ?? 0) + count);
     };
     // Each place is looked at once for all tasks of the demand.
-    for (const place of pool) {
+    for (const place of pool.candidates(demand)) {
       if (left <= 0) break;
-      if (fits(demand.spec, place.free) && inTime(demand, place) && usable(demand, place, zones)) take(place);
+      if (fits(demand.spec, place.free) && !isShunned(demand, place) && usable(demand, place, zones))
+        take(place);
     }
+    if (left < demand.count) pool.compact();
     while (left > 0) {
-      const place = rentFor(demand, zones, left, market, pool, plans);
+      const place = rentFor(demand, zones, left, market, plans);
       if (!place) break;
+      pool.add(place);
       take(place);
     }
   }
 }
 
-/** Whether room that is there later still serves: a machine on its way always, a busy one if the deadline allows. */
-function inTime(demand: Demand, room: IncomingCapacity): boolean {
-  if (demand.shunsSpot && room.spot && !room.busy) return false;
-  if (!room.busy) return true;
-  if (demand.spec.kind === 'service' || demand.waitedS > PATIENCE_S) return false;
-  return room.readyS <= demand.startLeftS && room.readyS + demand.expectedS <= demand.leftS;
+/** Until when a running task must end for its room to serve the demand; a machine on its way always serves. */
+function latestEndS(demand: Demand): number {
+  if (demand.spec.kind === 'service' || demand.waitedS > PATIENCE_S) return -Infinity;
+  return Math.min(demand.startLeftS, demand.leftS - demand.expectedS);
+}
+
+/** A spot machine on its way is not counted on by what must not lose it. */
+function isShunned(demand: Demand, place: IncomingCapacity): boolean {
+  return demand.shunsSpot && place.spot && !place.busy;
 }
 
 function usable(demand: Demand, offer: Offer, zones: ReadonlyMap<string, number>): boolean {
@@ -120,7 +158,6 @@
   zones: ReadonlyMap<string, number>,
   count: number,
   market: Market,
-  pool: IncomingCapacity[],
   plans: Map<string, RentalPlan>,
 ): IncomingCapacity | undefined {
   const { spec } = demand;
@@ -151,7 +188,6 @@
     readyS: type.bootS + START_EXTRA_S,
     busy: false,
   };
-  pool.push(node);
   const key = `${offer.type}/${offer.zone}/${offer.spot}`;
   const plan = plans.get(key) ?? { offer, count: 0 };
   plan.count++;
--- a/src/placement/renter.ts
+++ b/src/placement/renter.ts
@@ -1,6 +1,6 @@
 import type { Rental } from '../cloud/cloud.js';
 import { offerKey, type MachineType, type Offer } from '../cloud/codec.js';
-import { REFUSED_MS, RENT_MAX, RENT_SPACING_MS, SPOT_LOSSES_BORNE, START_EXTRA_S } from '../constants.js';
+import { REFUSED_MS, RENT_MAX, SPOT_LOSSES_BORNE, START_EXTRA_S } from '../constants.js';
 import type { Health } from '../fleet/health.js';
 import type { Ledger, Node, Resources } from '../fleet/ledger.js';
 import type { Job } from '../pipeline/job.js';
@@ -33,7 +33,6 @@
   private readonly rentals = new Map<string, Rental>();
   private readonly refusedUntil = new Map<string, number>();
   private rentalSeq = 0;
-  private rentedMs = -Infinity;
   private kept: ReadonlySet<Node> = new Set();
   /** Machines that an earlier leader rented show in the list; without it they would be rented twice. */
   listed = false;
@@ -52,8 +51,7 @@
   }
 
   rent(waiting: Job[], now: number): void {
-    if (this.deps.types().size === 0 || !this.listed || now - this.rentedMs < RENT_SPACING_MS) return;
-    this.rentedMs = now;
+    if (this.deps.types().size === 0 || !this.listed) return;
     const demands: Demand[] = [];
     const promised = new Map<string, Resources>();
     for (const job of waiting) {
