--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -99,6 +99,8 @@
       this.socket.destroySoon();
       return;
     }
+    // Who sends on while a request is answered floods: nothing more is read of it until then.
+    if (this.busy) this.socket.pause();
     this.next();
   }
 
@@ -107,8 +109,6 @@
     const message = this.queue.shift();
     if (!message) return;
     this.busy = true;
-    // Nothing is read on while a request is answered: this holds a flooding client back.
-    this.socket.pause();
     let answered = false;
     const respond = (response: HttpResponse): void => {
       if (answered) return;
@@ -123,7 +123,7 @@
         this.socket.end();
         return;
       }
-      this.socket.resume();
+      if (this.socket.isPaused()) this.socket.resume();
       this.next();
     };
     try {
--- a/src/leadership/leader.ts
+++ b/src/leadership/leader.ts
@@ -240,9 +240,8 @@
   }
 
   private createPlacer(): Placer {
-    const { settings, term, clock, log } = this.deps;
+    const { term, clock, log } = this.deps;
     return new Placer({
-      zones: settings.zones,
       ledger: this.ledger,
       health: this.health,
       jobs: this.store.jobs,
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -5,7 +5,6 @@
   MISS_PENALTY_S,
   OVERRUN_SHARE,
   PREEMPT_AFTER_MS,
-  EPSILON,
   PREEMPT_PROD_AFTER_MS,
   RENT_SPACING_MS,
   STARTS_PER_PASS,
@@ -14,8 +13,9 @@
 import type { Attempt, Ledger, Node, Resources } from '../fleet/ledger.js';
 import type { Job } from '../pipeline/job.js';
 import { rankRooms, type Room } from './choose.js';
-import { addTo, rankClearings } from './preempt.js';
+import { addTo, rankClearings, type Clearing } from './preempt.js';
 import { PreemptionLook, type Claim } from './preemption-look.js';
+import { Rooms } from './rooms.js';
 import { couldHold, LackingRoom } from './lacking-room.js';
 import { allowsZone, fits, teamRoom, type TeamLimit } from './rules.js';
 
@@ -27,7 +27,6 @@
   /** Number of the leader's term. */
   term: number;
   types: () => ReadonlyMap<string, MachineType>;
-  zones: readonly string[];
   /** Whether every machine of earlier terms is accounted for. */
   recovered: () => boolean;
   wallMs: () => number;
@@ -35,8 +34,6 @@
   log: Logger;
 }
 
-const hasRoom = ({ free }: Room): boolean => free.cpus > EPSILON || free.accelerators > EPSILON;
-
 /** Starts waiting tasks where there is room, and makes room where that is allowed. */
 export class Placer {
   private attemptSeq = 0;
@@ -49,18 +46,19 @@
   /** Looks at each machine and each job once, however many tasks wait. Returns the jobs that still wait. */
   place(open: Job[], now: number): Job[] {
     this.countUnknown();
-    let rooms = this.rooms(this.deps.ledger.withRoom, now);
+    const { withRoom } = this.deps.ledger;
+    const rooms = new Rooms(this.rooms(withRoom, now));
     const lacking = new LackingRoom();
     const waiting: Job[] = [];
     let starts = 0;
-    const mostStarts = Math.max(STARTS_PER_PASS, rooms.length);
+    const mostStarts = Math.max(STARTS_PER_PASS, withRoom.size);
     for (const job of open) {
       const held = now < job.notBeforeMs || (!this.deps.recovered() && job.inherited);
       const most = held ? 0 : Math.min(this.teamRoomOf(job), mostStarts - starts);
-      const looks = most > 0 && rooms.length > 0 && !lacking.covers(job.spec);
+      const looks = most > 0 && !lacking.covers(job.spec);
       const started = looks ? this.fill(job, rooms, most, now) : 0;
       if (looks && started === 0 && !rooms.some((room) => couldHold(job.spec, room))) lacking.note(job.spec);
-      if (started > 0) rooms = rooms.filter(hasRoom);
+      if (started > 0) rooms.dropFull();
       starts += started;
       if (job.pending > 0 && !held) {
         if (Number.isNaN(job.waitingSinceMs)) job.waitingSinceMs = now;
@@ -83,12 +81,14 @@
     return rooms;
   }
 
-  private fill(job: Job, rooms: Room[], most: number, now: number): number {
+  private fill(job: Job, rooms: Rooms, most: number, now: number): number {
     let task = job.nextPending();
     if (task < 0) return 0;
     const choice = { spec: job.spec, zones: job.zones, shunsSpot: job.shunsSpot, avoid: job.failedOn };
     let started = 0;
-    for (const { node, free } of rankRooms(choice, rooms, (n) => this.fetchS(n, job))) {
+    for (const { node, free } of rankRooms(choice, rooms.forJob(job.spec, job.zones), (n) =>
+      this.fetchS(n, job),
+    )) {
       while (fits(job.spec, free) && allowsZone(job.spec, job.zones, node.zone)) {
         job.release();
         const number = this.deps.term * ATTEMPTS_PER_TERM + ++this.attemptSeq;
@@ -158,30 +158,30 @@
     const all = now - this.preemptedMs >= RENT_SPACING_MS;
     if (all) this.preemptedMs = now;
     const look = new PreemptionLook(open, (job, victim) => this.mayPreempt(job, victim, within));
-    let rooms: Room[] | undefined;
+    let rooms: Rooms | undefined;
     for (const job of waiting) {
       if (job.rank !== 'prod' && !all) continue;
       const afterMs = job.rank === 'prod' ? PREEMPT_PROD_AFTER_MS : PREEMPT_AFTER_MS;
       if (now - job.waitingSinceMs < afterMs) continue;
       const claim = look.claimOf(job, within.has(job));
       if (claim.victims.size === 0) continue;
-      rooms ??= this.rooms(this.deps.ledger.nodes.values(), now);
+      rooms ??= new Rooms(this.rooms(this.deps.ledger.nodes.values(), now));
       this.clear(job, claim, rooms, now);
     }
   }
 
-  private clear(job: Job, claim: Claim, rooms: Room[], now: number): void {
+  private clear(job: Job, claim: Claim, rooms: Rooms, now: number): void {
     let left = Math.min(job.pending, this.teamRoomOf(job));
     if (left <= 0) return;
     const zones = new Map(job.zones);
-    const clearings = rankClearings(
-      job,
-      rooms.filter(({ node }) => !claim.lacksRoomIn(node.zone, job.spec)),
-      (n) => this.fetchS(n, job),
-      (v) => claim.victims.has(v),
-      (v) => this.stopLossS(v, now),
-    );
-    claim.noteZonesWithout(job, clearings, this.deps.zones);
+    const clearings: Clearing[] = [];
+    for (const zone of rooms.zones) {
+      if (!allowsZone(job.spec, zones, zone) || claim.lacksRoomIn(zone, job.spec)) continue;
+      const found = this.clearingsIn(rooms.inZone(zone), job, claim, now);
+      if (found.length === 0) claim.noteLacking(zone, job.spec);
+      clearings.push(...found);
+    }
+    clearings.sort((a, b) => a.loss - b.loss);
     for (const { room, victims } of clearings) {
       if (left-- <= 0) return;
       const { zone } = room.node;
@@ -196,6 +196,16 @@
     }
   }
 
+  private clearingsIn(rooms: Iterable<Room>, job: Job, claim: Claim, now: number): Clearing[] {
+    return rankClearings(
+      job,
+      rooms,
+      (node) => this.fetchS(node, job),
+      (victim) => claim.victims.has(victim),
+      (victim) => this.stopLossS(victim, now),
+    );
+  }
+
   private mayPreempt(job: Job, victim: Job, within: ReadonlySet<Job>): boolean {
     const ranks = ['prod', 'high', 'standard', 'idle'];
     if (ranks.indexOf(victim.rank) > ranks.indexOf(job.rank)) return true;
--- a/src/placement/preemption-look.ts
+++ b/src/placement/preemption-look.ts
@@ -1,7 +1,5 @@
 import type { Job } from '../pipeline/job.js';
 import { LackingRoom } from './lacking-room.js';
-import type { Clearing } from './preempt.js';
-import { allowsZone } from './rules.js';
 
 /** What jobs of one rank, team and standing to the guarantee may stop, and where that was found to be not enough. */
 export class Claim {
@@ -14,15 +12,11 @@
     return this.lacking.get(zone)?.covers(spec) ?? false;
   }
 
-  /** Notes the zones that the job may use and in which nothing could be cleared for it. */
-  noteZonesWithout(job: Job, clearings: Clearing[], zones: readonly string[]): void {
-    const found = new Set(clearings.map(({ room }) => room.node.zone));
-    for (const zone of zones) {
-      if (found.has(zone) || !allowsZone(job.spec, job.zones, zone)) continue;
-      let lacking = this.lacking.get(zone);
-      if (!lacking) this.lacking.set(zone, (lacking = new LackingRoom()));
-      lacking.note(job.spec);
-    }
+  /** In this zone nothing can be cleared for such a task. */
+  noteLacking(zone: string, spec: Job['spec']): void {
+    let lacking = this.lacking.get(zone);
+    if (!lacking) this.lacking.set(zone, (lacking = new LackingRoom()));
+    lacking.note(spec);
   }
 }
 
--- a/src/placement/rent.ts
+++ b/src/placement/rent.ts
@@ -71,40 +71,59 @@
 const isUsedUp = ({ free }: IncomingCapacity): boolean =>
   free.cpus <= EPSILON && free.accelerators <= EPSILON;
 
-/** Copies of the room that is to come, in the order in which demands are counted on it. */
-class CapacityPool {
+/** What comes in one zone, in the order in which demands are counted on it. */
+interface ZoneCapacity {
   /** Room of running tasks, soonest first. */
-  private busy: IncomingCapacity[];
+  busy: IncomingCapacity[];
+  /** Machines on their way. */
+  open: IncomingCapacity[];
+}
+
+/** Copies of the room that is to come, by zone. */
+class CapacityPool {
+  private readonly zones = new Map<string, ZoneCapacity>();
   /** Machines on their way, and those that are there; they stay in the list when nothing of them is left. */
-  readonly arriving: IncomingCapacity[];
-  private open: IncomingCapacity[];
+  readonly arriving: IncomingCapacity[] = [];
 
   constructor(coming: IncomingCapacity[]) {
-    const copies = coming.map((each) => ({ ...each, free: { ...each.free } }));
-    this.busy = copies.filter((each) => each.busy).sort((a, b) => a.readyS - b.readyS);
-    this.arriving = copies.filter((each) => !each.busy);
-    this.open = [...this.arriving];
+    for (const each of coming) {
+      const copy = { ...each, free: { ...each.free } };
+      if (copy.busy) this.zoneOf(copy.zone).busy.push(copy);
+      else this.add(copy);
+    }
+    for (const { busy } of this.zones.values()) busy.sort((a, b) => a.readyS - b.readyS);
   }
 
   /** What a demand may be counted on: rooms of running tasks first, as far as they end in time. */
-  *candidates(demand: Demand): Iterable<IncomingCapacity> {
+  *candidates(demand: Demand, taken: ReadonlyMap<string, number>): Iterable<IncomingCapacity> {
     const busyUntilS = latestEndS(demand);
-    for (const each of this.busy) {
-      if (each.readyS > busyUntilS) break;
-      yield each;
+    for (const [zone, { busy, open }] of this.zones) {
+      if (!allowsZone(demand.spec, taken, zone)) continue;
+      for (const each of busy) {
+        if (each.readyS > busyUntilS) break;
+        yield each;
+      }
+      yield* open;
     }
-    yield* this.open;
   }
 
   add(each: IncomingCapacity): void {
     this.arriving.push(each);
-    this.open.push(each);
+    this.zoneOf(each.zone).open.push(each);
   }
 
   /** Lets go of what is used up, so that the next of hundreds of demands need not pass over it again. */
   compact(): void {
-    this.busy = this.busy.filter((each) => !isUsedUp(each));
-    this.open = this.open.filter((each) => !isUsedUp(each));
+    for (const zone of this.zones.values()) {
+      zone.busy = zone.busy.filter((each) => !isUsedUp(each));
+      zone.open = zone.open.filter((each) => !isUsedUp(each));
+    }
+  }
+
+  private zoneOf(name: string): ZoneCapacity {
+    let zone = this.zones.get(name);
+    if (!zone) this.zones.set(name, (zone = { busy: [], open: [] }));
+    return zone;
   }
 }
 
@@ -123,7 +142,7 @@
       zones.set(place.zone, (zones.get(place.zone) ?? 0) + count);
     };
     // Each place is looked at once for all tasks of the demand.
-    for (const place of pool.candidates(demand)) {
+    for (const place of pool.candidates(demand, zones)) {
       if (left <= 0) break;
       if (fits(demand.spec, place.free) && !isShunned(demand, place) && usable(demand, place, zones))
         take(place);
