--- a/src/fleet/ledger.ts
+++ b/src/fleet/ledger.ts
@@ -93,6 +93,8 @@
   readonly awaitingCommands = new Set<Node>();
   /** Machines on which something is free; of a large fleet most are full. */
   readonly withRoom = new Set<Node>();
+  /** Zones with machines, and how many. */
+  readonly machinesPerZone = new Map<string, number>();
   private nodeCount = 0;
 
   constructor(
@@ -130,6 +132,7 @@
       failedJobs: new Set(),
     };
     this.nodes.set(node.name, node);
+    this.machinesPerZone.set(node.zone, (this.machinesPerZone.get(node.zone) ?? 0) + 1);
     this.noteRoom(node);
     return node;
   }
@@ -146,7 +149,10 @@
   /** The machine was deleted: all that was on it is gone. */
   removeNode(node: Node): void {
     this.releaseAll(node);
-    this.nodes.delete(node.name);
+    if (!this.nodes.delete(node.name)) return;
+    const left = this.machinesPerZone.get(node.zone)! - 1;
+    if (left > 0) this.machinesPerZone.set(node.zone, left);
+    else this.machinesPerZone.delete(node.zone);
     this.awaitingCommands.delete(node);
     this.withRoom.delete(node);
   }
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -164,12 +164,20 @@
       const afterMs = job.rank === 'prod' ? PREEMPT_PROD_AFTER_MS : PREEMPT_AFTER_MS;
       if (now - job.waitingSinceMs < afterMs) continue;
       const claim = look.claimOf(job, within.has(job));
-      if (claim.victims.size === 0) continue;
+      // Replicas that wait for a zone without machines are no reason to look at all the others.
+      if (claim.victims.size === 0 || !this.mayClear(job, claim)) continue;
       rooms ??= new Rooms(this.rooms(this.deps.ledger.nodes.values(), now));
       this.clear(job, claim, rooms, now);
     }
   }
 
+  /** Whether there is a zone with machines that the job may use and that was not searched in vain in this look. */
+  private mayClear(job: Job, claim: Claim): boolean {
+    for (const zone of this.deps.ledger.machinesPerZone.keys())
+      if (allowsZone(job.spec, job.zones, zone) && !claim.lacksRoomIn(zone, job.spec)) return true;
+    return false;
+  }
+
   private clear(job: Job, claim: Claim, rooms: Rooms, now: number): void {
     let left = Math.min(job.pending, this.teamRoomOf(job));
     if (left <= 0) return;
