--- a/src/cloud/cloud.ts
+++ b/src/cloud/cloud.ts
@@ -6,6 +6,7 @@
   CLOUD_CALL_MS,
   CLOUD_RATE_USED,
   LIST_EVERY_MS,
+  LIST_RATE_SHARE,
   LIST_PAGE,
   RETURN_MAX,
   STATE_RETRY_MS,
@@ -45,11 +46,17 @@
   | { kind: 'tick' }
   | { kind: 'ended'; work: Work; response: HttpResponse | undefined };
 
+/** One page of the machine list, and what the pages before it held. */
+interface ListWork {
+  kind: 'list';
+  since: string;
+  nodes: ListedNode[];
+  askedMs: number;
+  pages: number;
+}
+
 type Work =
-  | { kind: 'rent'; rental: Rental }
-  | { kind: 'return'; names: string[] }
-  | { kind: 'list'; since: string; nodes: ListedNode[]; askedMs: number }
-  | { kind: 'catalog' };
+  { kind: 'rent'; rental: Rental } | { kind: 'return'; names: string[] } | ListWork | { kind: 'catalog' };
 
 /** All dealings with the cloud, within its request rate; deletions and rentals go before looking. */
 export class Cloud extends Actor<Message> {
@@ -58,13 +65,15 @@
   private readonly returns = new Set<string>();
   private returnsInFlight = 0;
   private listDueMs = 0;
+  /** The next page of the list that is being read. */
+  private nextPage: ListWork | undefined;
   private catalogDueMs = 0;
   private timer: (() => void) | undefined;
 
   constructor(
     private readonly caller: HttpCaller,
     private readonly address: string,
-    rps: number,
+    private readonly rps: number,
     private readonly clock: Clock,
     private readonly events: (event: CloudEvent) => void,
     /** Asked right before each call: after a pause another may lead, and what was decided before it is void. */
@@ -121,11 +130,16 @@
       this.catalogDueMs = now + CATALOG_EVERY_MS;
       return { kind: 'catalog' };
     }
+    if (this.nextPage) {
+      const page = this.nextPage;
+      this.nextPage = undefined;
+      return page;
+    }
     const rental = this.rentals.shift();
     if (rental) return { kind: 'rent', rental };
     if (now >= this.listDueMs) {
       this.listDueMs = now + LIST_EVERY_MS;
-      return { kind: 'list', since: '', nodes: [], askedMs: now };
+      return { kind: 'list', since: '', nodes: [], askedMs: now, pages: 1 };
     }
     return undefined;
   }
@@ -178,15 +192,17 @@
     }
   }
 
-  private onPage(work: Extract<Work, { kind: 'list' }>, text: string): void {
+  private onPage(work: ListWork, text: string): void {
     const page = decodeList(text);
     const nodes = [...work.nodes, ...page.nodes];
     const last = page.nodes.at(-1);
     if (page.more && last) {
-      this.budget.spend(1);
-      this.begin({ ...work, since: last.name, nodes });
-    } else {
-      this.events({ kind: 'listed', nodes, askedMs: work.askedMs });
+      this.nextPage = { ...work, since: last.name, nodes, pages: work.pages + 1 };
+      return;
     }
+    // The list of a large fleet takes many requests, and most of the rate is for renting and returning.
+    const neededMs = (work.pages * 1000) / (this.rps * CLOUD_RATE_USED * LIST_RATE_SHARE);
+    this.listDueMs = Math.max(this.listDueMs, work.askedMs + neededMs);
+    this.events({ kind: 'listed', nodes, askedMs: work.askedMs });
   }
 }
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -1,6 +1,6 @@
 import type { Logger } from 'pino';
 import type { Clock } from './clock.js';
-import { PEER_BEAT_MS, RELAY_FRESH_MS, STATE_RETRY_MS } from './constants.js';
+import { PEER_BEAT_MS, RELAY_FRESH_MS, STATE_RETRY_MS, WAITING_REPORTS_SHARE } from './constants.js';
 import { readReport, type Report } from './fleet/codec.js';
 import { Frontdoor } from './frontdoor/frontdoor.js';
 import type { HttpCaller, HttpRequest, Respond } from './http/message.js';
@@ -11,7 +11,9 @@
 import type { PeerChannel } from './leadership/peers.js';
 import { Relay } from './leadership/relay.js';
 import { Dependencies } from './pipeline/dependencies.js';
+import { MemoryGuard } from './memory-guard.js';
 import type { Settings } from './settings.js';
+import { shareMemory } from './sizing.js';
 import { StateClient } from './state/client.js';
 import { Mirror } from './state/mirror.js';
 import { isJobKey, jobKey, keyId, PREFIX, storedMember } from './state/records.js';
@@ -24,6 +26,8 @@
   random: () => number;
   /** Steady ms at which this process began. */
   bornMs: number;
+  /** Bytes of heap and buffers in use. */
+  memoryUsedBytes: () => number;
   /** For the state service and the cloud. */
   caller: HttpCaller;
   /** For the workers. */
@@ -42,6 +46,7 @@
   private readonly client: StateClient;
   private readonly deputy: Deputy;
   private readonly frontdoor: Frontdoor;
+  private readonly memory: MemoryGuard;
   private readonly relay: Relay;
   private leader: Leader | undefined;
   private counts: Record<string, number> = {};
@@ -90,6 +95,8 @@
       refuses: (member) => peers.refuses(member),
       heardMs: (member) => this.election.heardOfMs(member),
     });
+    const { shedAbove } = shareMemory(settings.memoryBytes, settings.peers.length);
+    this.memory = new MemoryGuard(clock, world.memoryUsedBytes, shedAbove, log);
     this.frontdoor = new Frontdoor({
       teams: settings.teams,
       mirror: this.mirror,
@@ -102,6 +109,7 @@
       running: (uid) => this.counts[uid] ?? 0,
       isServed: () => client.isServed,
       isHealthy: () => this.election.isHealthy,
+      isShortOfMemory: () => this.memory.isShort,
       report: (report, body, respond) => this.takeReport(report, body, respond),
     });
     this.relay = new Relay({
@@ -109,6 +117,7 @@
       channel: peers,
       log,
       random: world.random,
+      mostWaiting: Math.ceil(settings.sockets.forClients * WAITING_REPORTS_SHARE),
       leader: () => this.election.reachableLeader(),
       refusingLeader: () => {
         const leader = this.election.knowsLeader ? this.election.leader() : undefined;
@@ -134,6 +143,7 @@
     void this.mirror.run();
     this.election.start();
     this.deputy.start();
+    this.memory.start();
     this.shareCounts();
   }
 
--- a/src/frontdoor/frontdoor.ts
+++ b/src/frontdoor/frontdoor.ts
@@ -57,6 +57,8 @@
   running: (uid: string) => number;
   /** Whether the state service serves this controller. */
   isServed: () => boolean;
+  /** Whether memory is so short that users must wait. */
+  isShortOfMemory: () => boolean;
   /** Whether this controller can do something for users. */
   isHealthy: () => boolean;
   /** Hands a report to who deals with it; otherwise the controller that its worker should turn to, if one is known. */
@@ -103,6 +105,7 @@
   /** A bounded number of requests in progress, each with a final answer in time; the rest come back later. */
   private limited(timeoutMs: number, respond: Respond, work: () => Promise<HttpResponse>): void {
     if (this.inProgress >= MAX_USERS_WAITING) return respond(RETRY);
+    if (this.deps.isShortOfMemory()) return respond({ ...RETRY, close: true });
     this.inProgress++;
     let ended = false;
     const end = (response: HttpResponse): void => {
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -1,8 +1,14 @@
 import { Socket } from 'node:net';
 import type { Clock } from '../clock.js';
 import { MAX_ANSWER_BYTES, POOL_IDLE_MS, POOL_QUEUE, POOL_SIZE } from '../constants.js';
-import { CallError, type HttpCaller, type HttpResponse } from './message.js';
-import { HttpParser } from './parser.js';
+import {
+  AnswerTooLargeError,
+  CallError,
+  type CallFailure,
+  type HttpCaller,
+  type HttpResponse,
+} from './message.js';
+import { HttpParser, HttpSyntaxError } from './parser.js';
 import { splitAddress } from './server.js';
 
 interface Call {
@@ -14,9 +20,11 @@
   cancelTimer: () => void;
 }
 
+const failureOf = (call: Call): CallFailure => (call.sent ? 'unclear' : 'unsent');
+
 /** One kept-alive connection; carries one call at a time. */
 class ClientConnection {
-  private readonly parser = new HttpParser('response', MAX_ANSWER_BYTES);
+  private readonly parser: HttpParser;
   private readonly socket = new Socket();
   private call: Call | undefined;
   private connected = false;
@@ -24,8 +32,10 @@
 
   constructor(
     address: string,
+    answerBytes: number,
     private readonly onFree: (connection: ClientConnection, alive: boolean) => void,
   ) {
+    this.parser = new HttpParser('response', answerBytes);
     const { host, port } = splitAddress(address);
     this.socket.setNoDelay(true);
     this.socket.on('connect', () => {
@@ -63,7 +73,8 @@
     try {
       messages = this.parser.feed(data);
     } catch (error) {
-      this.fail(String(error));
+      const isTooLarge = error instanceof HttpSyntaxError && error.status === 413;
+      this.fail(String(error), isTooLarge);
       return;
     }
     const message = messages[0];
@@ -79,11 +90,11 @@
     this.onFree(this, message.keepAlive);
   }
 
-  private fail(reason: string): void {
+  private fail(reason: string, isTooLarge = false): void {
     const call = this.call;
     this.call = undefined;
     this.socket.destroy();
-    call?.reject(new CallError(call.sent ? 'unclear' : 'unsent', reason));
+    call?.reject(isTooLarge ? new AnswerTooLargeError(reason) : new CallError(failureOf(call), reason));
     this.onFree(this, false);
   }
 }
@@ -131,6 +142,7 @@
     private readonly clock: Clock,
     private readonly size: number,
     private readonly sockets: Sockets,
+    private readonly answerBytes: number,
   ) {}
 
   submit(call: Call): void {
@@ -185,7 +197,7 @@
 
   private open(): ClientConnection | undefined {
     if (this.all.size >= this.size || !this.sockets.take()) return undefined;
-    const connection = new ClientConnection(this.address, (freed, alive) => {
+    const connection = new ClientConnection(this.address, this.answerBytes, (freed, alive) => {
       if (alive) {
         freed.idleSinceMs = this.clock.steadyMs();
         this.idle.push(freed);
@@ -213,6 +225,8 @@
     private readonly poolSize: number = POOL_SIZE,
     /** Connections to all addresses together. */
     most = Infinity,
+    /** Bytes of one answer's body. */
+    private readonly answerBytes: number = MAX_ANSWER_BYTES,
   ) {
     this.sockets = new Sockets(most);
     this.sweepLater();
@@ -250,10 +264,14 @@
         },
       };
       call.cancelTimer = this.clock.after(timeoutMs, () =>
-        call.reject(new CallError(call.sent ? 'unclear' : 'unsent', 'timed out')),
+        call.reject(new CallError(failureOf(call), 'timed out')),
       );
       let pool = this.pools.get(address);
-      if (!pool) this.pools.set(address, (pool = new Pool(address, this.clock, this.poolSize, this.sockets)));
+      if (!pool)
+        this.pools.set(
+          address,
+          (pool = new Pool(address, this.clock, this.poolSize, this.sockets, this.answerBytes)),
+        );
       pool.submit(call);
     });
   }
--- a/src/http/message.ts
+++ b/src/http/message.ts
@@ -30,6 +30,13 @@
   }
 }
 
+/** The answer was larger than we take; the request was executed. */
+export class AnswerTooLargeError extends CallError {
+  constructor(reason: string) {
+    super('unclear', reason);
+  }
+}
+
 /** Calls other hosts; the real one uses sockets, tests use a simulated network. */
 export interface HttpCaller {
   call(
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -1,7 +1,13 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import type { Logger } from 'pino';
 import type { Clock } from '../clock.js';
-import { IDLE_CONNECTION_MS, LEFT_CONNECTION_MS, MAX_BODY_BYTES, REQUEST_READ_MS } from '../constants.js';
+import {
+  CROWDED_SHARE,
+  IDLE_CONNECTION_MS,
+  LEFT_CONNECTION_MS,
+  MAX_BODY_BYTES,
+  REQUEST_READ_MS,
+} from '../constants.js';
 import type { Handler, HttpRequest, HttpResponse } from './message.js';
 import { HttpParser, HttpSyntaxError, type RawMessage } from './parser.js';
 
@@ -55,6 +61,8 @@
     private readonly log: Logger,
     /** Called with each answer, so that the connections stand in the order of their last use. */
     private readonly onUsed: () => void,
+    /** Whether connections are scarce: then each ends after its answer, and another client has its turn. */
+    private readonly isCrowded: () => boolean,
   ) {
     this.lastMs = clock.steadyMs();
     socket.setNoDelay(true);
@@ -117,7 +125,7 @@
       this.lastMs = this.clock.steadyMs();
       if (this.socket.destroyed) return;
       this.onUsed();
-      const keepAlive = message.keepAlive && response.close !== true;
+      const keepAlive = message.keepAlive && response.close !== true && !this.isCrowded();
       this.socket.write(formatResponse(response, keepAlive));
       if (!keepAlive || this.ended) {
         this.socket.end();
@@ -158,15 +166,19 @@
     }
     return false;
   };
+  // With fewer sockets than clients, none may keep one while others are refused.
+  const crowdedAt = Math.ceil(maxConnections * CROWDED_SHARE);
+  const isCrowded = (): boolean => connections.size > crowdedAt;
   const server = createServer({ allowHalfOpen: true }, (socket) => {
     if (connections.size >= maxConnections && !makeRoom()) {
       socket.destroy();
       return;
     }
-    const connection = new Connection(socket, handler, clock, log, () => {
+    const used = (): void => {
       connections.delete(socket);
       connections.set(socket, connection);
-    });
+    };
+    const connection = new Connection(socket, handler, clock, log, used, isCrowded);
     connections.set(socket, connection);
     socket.on('close', () => connections.delete(socket));
   });
--- a/src/leadership/peer-frames.ts
+++ b/src/leadership/peer-frames.ts
@@ -44,15 +44,19 @@
   private pending: Buffer[] = [];
   private pendingBytes = 0;
 
-  constructor(private readonly socket: Writable) {}
+  constructor(
+    private readonly socket: Writable,
+    private readonly bufferBytes: number,
+  ) {}
 
-  /** A peer that does not read must not fill our memory: what has no room is dropped, and said again later. */
-  send(message: unknown): void {
-    if (this.socket.writableLength + this.pendingBytes >= PEER_FRAME_BYTES) return;
+  /** A peer that does not read must not fill our memory: what has no room is dropped (false), and said again later. */
+  send(message: unknown): boolean {
+    if (this.socket.writableLength + this.pendingBytes >= this.bufferBytes) return false;
     const frame = encodeFrame(message);
     if (this.pending.length === 0) setImmediate(() => this.flush());
     this.pending.push(frame);
     this.pendingBytes += frame.length;
+    return true;
   }
 
   private flush(): void {
--- a/src/leadership/peers.ts
+++ b/src/leadership/peers.ts
@@ -15,7 +15,8 @@
 
 /** The channel to the other controllers; real one over TCP, simulated in tests. */
 export interface PeerChannel {
-  send(member: string, message: PeerMessage): void;
+  /** False: it was dropped, as the peer is not connected or reads too slowly. */
+  send(member: string, message: PeerMessage): boolean;
   /** Whether the peer's host is there but takes no connection of ours: no sign of a cut. */
   refuses(member: string): boolean;
   onMessage(listener: (member: string, message: PeerMessage) => void): void;
@@ -34,6 +35,8 @@
   constructor(
     private readonly self: string,
     private readonly peers: Peer[],
+    /** What may wait to be sent to one peer. */
+    private readonly bufferBytes: number,
     private readonly clock: Clock,
     private readonly log: Logger,
   ) {}
@@ -46,8 +49,8 @@
     return this.refusing.has(member);
   }
 
-  send(member: string, message: PeerMessage): void {
-    this.outgoing.get(member)?.send(message);
+  send(member: string, message: PeerMessage): boolean {
+    return this.outgoing.get(member)?.send(message) ?? false;
   }
 
   listen(address: string): Promise<void> {
@@ -94,7 +97,7 @@
   private dial(peer: Peer): void {
     const { host, port } = splitAddress(peer.address);
     const socket = new Socket();
-    const writer = new FrameWriter(socket);
+    const writer = new FrameWriter(socket, this.bufferBytes);
     let stopBeat = (): void => undefined;
     let connectedMs = Infinity;
     const giveUp = this.clock.after(PEER_SILENT_MS, () => socket.destroy());
--- a/src/leadership/relay.ts
+++ b/src/leadership/relay.ts
@@ -18,6 +18,8 @@
   leader: () => string | undefined;
   /** The leader, if its host is there but refuses our connections: workers can reach it, we can't. */
   refusingLeader: () => string | undefined;
+  /** Most reports that may wait at once. */
+  mostWaiting: number;
   /** Deals with a report that the leader does not answer; false: not now. */
   elsewhere: (body: string, respond: Respond) => boolean;
 }
@@ -66,6 +68,8 @@
     switch (message.kind) {
       case 'report': {
         const { body, respond } = message;
+        // Each holds a socket. Beyond this its worker is better off with another controller, and users need some too.
+        if (this.waiting.size >= this.deps.mostWaiting) return respond(NOT_NOW);
         const receivedMs = this.deps.clock.steadyMs();
         this.pass({ body, respond, receivedMs, to: undefined, passedMs: NaN });
         return this.lookLater();
@@ -84,9 +88,10 @@
     this.waiting.set(id, report);
     const leader = this.deps.leader();
     if (leader === undefined) return;
+    // What could not be sent now is sent at the next look.
+    if (!this.deps.channel.send(leader, { kind: 'relay', id, body: report.body })) return;
     report.to = leader;
     report.passedMs = this.deps.clock.steadyMs();
-    this.deps.channel.send(leader, { kind: 'relay', id, body: report.body });
   }
 
   private onRelayed({ id, status, body }: Extract<Message, { kind: 'relayed' }>): void {
--- a/src/main.ts
+++ b/src/main.ts
@@ -3,36 +3,41 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { systemClock } from './clock.js';
-import { RESERVED_SOCKETS, WORKER_CALL_SHARE } from './constants.js';
+import { POOL_SIZE } from './constants.js';
 import { Controller } from './controller.js';
 import { SocketCaller } from './http/client.js';
 import { serveHttp } from './http/server.js';
 import { PeerLinks } from './leadership/peers.js';
+import { shareMemory } from './sizing.js';
 import { loadSettings, SettingsError, type Settings } from './settings.js';
 import packageJson from '../package.json' with { type: 'json' };
 
 const EXIT_SETTINGS = 2;
 const EXIT_LISTEN = 3;
 
+function memoryUsedBytes(): number {
+  const { heapTotal, external } = process.memoryUsage();
+  return heapTotal + external;
+}
+
 async function run(settings: Settings): Promise<void> {
   const log = pino(
     { level: process.env.LOG_LEVEL || 'info', base: { member: settings.member } },
     destination({ fd: 2, sync: true }),
   );
   const clock = systemClock;
-  // Sized so that every machine, the users, and what we open ourselves fit together.
-  const forCommands = Math.ceil(settings.maxConnections * WORKER_CALL_SHARE);
-  const forClients = Math.max(1, settings.maxConnections - RESERVED_SOCKETS - forCommands);
+  const memory = shareMemory(settings.memoryBytes, settings.peers.length);
   const generator = xoroshiro128plus((Date.now() ^ (process.pid << 16)) | 0);
-  const peers = new PeerLinks(settings.member, settings.peers, clock, log);
+  const peers = new PeerLinks(settings.member, settings.peers, memory.perPeer, clock, log);
   const controller = new Controller({
     settings,
     clock,
     // The steady clock of a process begins with it.
     bornMs: 0,
+    memoryUsedBytes,
     random: () => uniformFloat64(generator),
-    caller: new SocketCaller(clock),
-    workerCaller: new SocketCaller(clock, 1, forCommands),
+    caller: new SocketCaller(clock, POOL_SIZE, Infinity, memory.perAnswer),
+    workerCaller: new SocketCaller(clock, 1, settings.sockets.forCommands),
     peers,
     log,
   });
@@ -46,7 +51,7 @@
     await peers.listen(settings.peerAddress);
     await serveHttp(
       settings.publicAddress,
-      forClients,
+      settings.sockets.forClients,
       (request, respond) => controller.handle(request, respond),
       clock,
       log,
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -5,6 +5,8 @@
 import type { Objective } from './pipeline/job-pipeline.js';
 import type { TeamLimit } from './placement/rules.js';
 import type { StartObjective } from './placement/spare.js';
+import { DEFAULT_MEMORY_MB } from './constants.js';
+import { shareSockets, type SocketShares } from './sizing.js';
 import { validateOperator, validatePlatform } from './schema-validators.js';
 
 export interface Settings {
@@ -26,7 +28,9 @@
   /** The tighter of the limits of now and of those announced: what is written must fit both. */
   state: { rps: number; writesPerS: number; valueBytes: number; txnOps: number };
   cloud: { rps: number; listLagS: number };
-  maxConnections: number;
+  sockets: SocketShares;
+  /** Bytes that a process may take. */
+  memoryBytes: number;
   operator: OperatorSettings;
 }
 
@@ -61,7 +65,7 @@
     workers: { report_s: number; lease_s: number; cancel_s: number };
     state: StateLimitsFile & { next?: Partial<StateLimitsFile> };
     cloud: { rps: number; list_lag_s: number };
-    quota: { max_connections: number };
+    quota: { max_connections: number; mem_mb?: number };
   };
 }
 
@@ -130,7 +134,8 @@
       txnOps: tighter('txn_ops'),
     },
     cloud: { rps: d.cloud.rps, listLagS: d.cloud.list_lag_s },
-    maxConnections: d.quota.max_connections,
+    sockets: shareSockets(d.quota.max_connections),
+    memoryBytes: (d.quota.mem_mb ?? DEFAULT_MEMORY_MB) * 1024 * 1024,
     operator,
   };
 }
--- a/src/simulation/day.ts
+++ b/src/simulation/day.ts
@@ -4,6 +4,7 @@
 import { Controller } from '../controller.js';
 import type { HttpResponse } from '../http/message.js';
 import type { Settings } from '../settings.js';
+import { shareSockets } from '../sizing.js';
 import { ProcessClock, SimClock } from './clock.js';
 import { SimCloud } from './cloud.js';
 import { SimNetwork, SimPeers } from './network.js';
@@ -79,7 +80,8 @@
     cancelS: CANCEL_S,
     state: { rps: 200, writesPerS: 80, ...(options.next ?? { valueBytes: 8192, txnOps: 12 }) },
     cloud: { rps: 6, listLagS: 0 },
-    maxConnections: 900,
+    sockets: shareSockets(900),
+    memoryBytes: 108 * 1024 * 1024,
     operator: { idleKeepS: 45, useSpot: true },
   };
 }
@@ -173,6 +175,7 @@
       clock,
       random: this.random,
       bornMs: this.clock.steadyMs(),
+      memoryUsedBytes: () => 0,
       caller,
       workerCaller: caller,
       peers: this.peers.channel(member, alive),
--- a/src/simulation/network.ts
+++ b/src/simulation/network.ts
@@ -182,6 +182,7 @@
       send: (to, message) => {
         const said = this.former.has(member) ? formerly(message) : message;
         if (isAlive() && said) this.network.deliver(member, to, () => this.listeners.get(to)?.(member, said));
+        return true;
       },
       refuses: () => false,
       onMessage: (listener) => own.push(listener),
--- a/src/state/mirror.ts
+++ b/src/state/mirror.ts
@@ -7,6 +7,7 @@
   WATCH_HOLD_MS,
   WATCH_SPACING_MS,
 } from '../constants.js';
+import { AnswerTooLargeError } from '../http/message.js';
 import type { WireInt } from '../wire/json.js';
 import { StateError, type Change, type Row, type StateClient } from './client.js';
 
@@ -123,7 +124,9 @@
 
   private onFailure(error: unknown): void {
     // The service keeps a bounded history of changes: once ours is too old, all keys are read again.
-    if (error instanceof StateError && error.status === 410) this.loaded = false;
+    // So they are when more has changed than fits into our memory at once: pages are small.
+    const isTooOld = error instanceof StateError && error.status === 410;
+    if (isTooOld || error instanceof AnswerTooLargeError) this.loaded = false;
     this.log.debug({ err: error }, 'state service not read');
   }
 
--- a/test/election.test.ts
+++ b/test/election.test.ts
@@ -62,7 +62,7 @@
     client as unknown as StateClient,
     mirror as unknown as Mirror,
     {
-      send: (_to, message) => sent.push(message),
+      send: (_to, message) => sent.push(message) > 0,
       refuses: () => false,
       onMessage: (listener) => (hear = listener),
     },
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -192,3 +192,28 @@
   caller.close();
   await Promise.all(servers.map((s) => new Promise((resolve) => s.close(resolve))));
 });
+
+// With fewer sockets than workers, those that came first kept theirs and the others were refused for ever.
+test('more clients than sockets: connections end after their answers, and everyone has a turn', async () => {
+  const MOST = 10;
+  const CLIENTS = 25;
+  const server = await serveHttp(
+    '127.0.0.1:0',
+    MOST,
+    (_request, respond) => setImmediate(() => respond({ status: 200, body: '{}' })),
+    systemClock,
+    pino({ level: 'silent' }),
+  );
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const callers = Array.from({ length: CLIENTS }, () => new SocketCaller(systemClock, 1));
+  const served = new Map<SocketCaller, number>();
+  for (let round = 0; round < 4; round++)
+    for (const caller of callers) {
+      const response = await caller.call(address, 'GET', '/x', undefined, 2000).catch(() => undefined);
+      if (response) served.set(caller, (served.get(caller) ?? 0) + 1);
+    }
+  for (const caller of callers) caller.close();
+  server.close();
+  assert.deepEqual(new Set(served.values()), new Set([4]));
+  assert.equal(served.size, CLIENTS);
+});
--- a/test/peer-frames.test.ts
+++ b/test/peer-frames.test.ts
@@ -10,7 +10,7 @@
   const socket = new PassThrough();
   const chunks: Buffer[] = [];
   socket.on('data', (chunk: Buffer) => chunks.push(chunk));
-  const writer = new FrameWriter(socket);
+  const writer = new FrameWriter(socket, PEER_FRAME_BYTES);
   const sent = Array.from({ length: 300 }, (_, id) => ({ kind: 'relay', id, body: `report ${id}` }));
   for (const message of sent) writer.send(message);
   await setImmediate();
@@ -37,13 +37,14 @@
 // A peer that does not read must not fill the memory of who writes to it.
 test('a peer that does not read is written a bounded amount', async () => {
   const socket = new Writable({ write: () => undefined });
-  const writer = new FrameWriter(socket);
+  const writer = new FrameWriter(socket, PEER_FRAME_BYTES);
   const message = { body: 'x'.repeat(100_000) };
   const most = Math.ceil(PEER_FRAME_BYTES / 100_000) + 1;
   for (let round = 0; round < 3; round++) {
     for (let i = 0; i < most; i++) writer.send(message);
     await setImmediate();
   }
+  assert.equal(writer.send(message), false, 'its sender hears that it was dropped');
   const held = socket.writableLength;
   assert.ok(held > PEER_FRAME_BYTES / 2 && held < PEER_FRAME_BYTES + 2 * 100_100 + 200, String(held));
 });
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -5,7 +5,7 @@
 import test from 'node:test';
 import { pino } from 'pino';
 import type { Clock } from '../src/clock.js';
-import { PEER_RETRY_MS } from '../src/constants.js';
+import { PEER_FRAME_BYTES, PEER_RETRY_MS } from '../src/constants.js';
 import { PeerLinks } from '../src/leadership/peers.js';
 
 // A host that took each connection and ended it at once was dialled without a pause: half of a process' time went there.
@@ -34,7 +34,7 @@
     await once(host, 'listening');
     const { port } = host.address() as AddressInfo;
     const peer = { member: 'b', zone: 'z', address: `127.0.0.1:${port}` };
-    const links = new PeerLinks('a', [peer], clock, pino({ level: 'silent' }));
+    const links = new PeerLinks('a', [peer], PEER_FRAME_BYTES, clock, pino({ level: 'silent' }));
     await links.listen('127.0.0.1:0');
     while (retries.length === 0) await setImmediate();
     assert.deepEqual(retries, [retryMs], `lasted ${lastedMs} ms`);
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -1,18 +1,21 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { pino } from 'pino';
-import { RELAY_FRESH_MS, RELAY_GIVE_UP_MS } from '../src/constants.js';
+import { RELAY_FRESH_MS, RELAY_GIVE_UP_MS, RELAY_LOOK_MS } from '../src/constants.js';
 import type { HttpResponse } from '../src/http/message.js';
 import type { PeerMessage } from '../src/leadership/peer-codec.js';
 import { Relay } from '../src/leadership/relay.js';
 import { SimClock } from '../src/simulation/clock.js';
 
+const MOST_WAITING = 3;
+
 function setUp(random: () => number = () => 0) {
   const clock = new SimClock();
   const world = {
     leader: 'c1' as string | undefined,
     refusing: undefined as string | undefined,
     deputy: false,
+    congested: false,
   };
   const sent: { to: string; id: number }[] = [];
   let hear: (member: string, message: PeerMessage) => void = () => undefined;
@@ -22,11 +25,14 @@
     random,
     channel: {
       send: (to, message) => {
+        if (world.congested) return false;
         if (message.kind === 'relay') sent.push({ to, id: message.id });
+        return true;
       },
       refuses: () => false,
       onMessage: (listener) => (hear = listener),
     },
+    mostWaiting: MOST_WAITING,
     leader: () => world.leader,
     refusingLeader: () => world.refusing,
     elsewhere: (_body, respond) => {
@@ -37,7 +43,9 @@
   const answers: HttpResponse[] = [];
   relay.send({ kind: 'report', body: '{}', respond: (response) => answers.push(response) });
   const answer = (id: number, body: string): void => hear('c1', { kind: 'relayed', id, status: 200, body });
-  return { clock, world, sent, answers, answer };
+  const report = (): void =>
+    relay.send({ kind: 'report', body: '{}', respond: (response) => answers.push(response) });
+  return { clock, world, sent, answers, answer, report };
 }
 
 test('a relayed report: at most one answer, never one that the leader no longer counts on', async () => {
@@ -114,3 +122,29 @@
     ['meant for this one'],
   );
 });
+
+// Each waiting report holds a socket, and thousands come at once when all machines turn to one controller.
+test('reports beyond what may wait are refused at once, and taken again when others have been answered', () => {
+  const { sent, answers, answer, report } = setUp();
+  for (let i = 1; i < MOST_WAITING + 2; i++) report();
+  assert.deepEqual(
+    answers.map(({ status }) => status),
+    [503, 503],
+  );
+  answer(sent[0]!.id, 'a');
+  report();
+  assert.equal(sent.length, MOST_WAITING + 1);
+  assert.equal(answers.length, 3);
+});
+
+test('a report that did not fit into the channel is sent at the next look', async () => {
+  const { clock, world, sent, answers, answer, report } = setUp();
+  world.congested = true;
+  report();
+  assert.equal(sent.length, 1);
+  world.congested = false;
+  await clock.runUntil(RELAY_LOOK_MS + 1);
+  assert.equal(sent.length, 2);
+  answer(sent[1]!.id, 'a');
+  assert.equal(answers.at(-1)!.status, 200);
+});
--- /dev/null
+++ b/test/sizing.test.ts
@@ -0,0 +1,170 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { pino } from 'pino';
+import { CROWDED_SHARE, GROUP_SPACING_MS, KEPT_BATCH, LIST_PAGE, RENT_MAX } from '../src/constants.js';
+import { Cloud, type CloudEvent } from '../src/cloud/cloud.js';
+import type { HttpCaller } from '../src/http/message.js';
+import { AnswerTooLargeError } from '../src/http/message.js';
+import { MemoryGuard } from '../src/memory-guard.js';
+import { SimClock } from '../src/simulation/clock.js';
+import { shareMemory, shareSockets } from '../src/sizing.js';
+import { Mirror } from '../src/state/mirror.js';
+import { StateClient } from '../src/state/client.js';
+
+const MB = 2 ** 20;
+const silent = pino({ level: 'silent' });
+
+test('sockets and memory are shared out by the size of a controller', () => {
+  const cases: [sockets: number, forClients: number, forCommands: number][] = [
+    [128, 76, 20],
+    [900, 701, 135],
+    [1743, 1417, 262],
+    [6500, 5461, 975],
+  ];
+  for (const [sockets, forClients, forCommands] of cases)
+    assert.deepEqual(shareSockets(sockets), { forClients, forCommands }, `${sockets} sockets`);
+  const memory: [mb: number, peers: number, shedAboveMb: number, perAnswerMb: number, perPeerMb: number][] = [
+    [108, 2, 49, 6, 2],
+    [127, 6, 65, 8, 1],
+    [250, 2, 170, 16, 6],
+    [1000, 6, 808, 16, 10],
+    [40, 2, 9, 1, 1],
+  ];
+  for (const [mb, peers, ...expected] of memory) {
+    const { shedAbove, perAnswer, perPeer } = shareMemory(mb * MB, peers);
+    assert.deepEqual(
+      [shedAbove, perAnswer, perPeer].map((bytes) => Math.round(bytes / MB)),
+      expected,
+      `${mb} MB`,
+    );
+  }
+});
+
+// One table for what is written or asked about a whole fleet: none of it may take as long as a worker's lease.
+test('what a fleet costs in writes and requests fits the rates at every size', () => {
+  const WRITES_PER_S = 50;
+  const CLOUD_PER_S = 5;
+  for (const machines of [500, 1500, 4000, 6000]) {
+    const groups = Math.ceil(machines / RENT_MAX);
+    assert.ok(groups / WRITES_PER_S < 15, `${machines}: writing the records of all groups`);
+    const batches = Math.ceil(machines / KEPT_BATCH);
+    assert.ok(batches / WRITES_PER_S < 5, `${machines}: registering the machines of deputies`);
+    const pages = Math.ceil(machines / LIST_PAGE);
+    assert.ok(pages / CLOUD_PER_S < 5, `${machines}: reading the list`);
+    const rentals = Math.ceil(machines / RENT_MAX);
+    assert.ok(rentals / CLOUD_PER_S < 45, `${machines}: renting all`);
+    // A group that changes all the time is written this often; together they must leave room for the jobs.
+    assert.ok(GROUP_SPACING_MS >= 200, `${machines}: spacing of groups`);
+    assert.ok(shareSockets(machines).forClients * CROWDED_SHARE > machines / 2, `${machines}: sockets`);
+  }
+});
+
+test('users are turned away while memory is short, and taken again only once it has eased', async () => {
+  const clock = new SimClock();
+  let used = 10;
+  const guard = new MemoryGuard(clock, () => used, 100, silent);
+  guard.start();
+  const steps: [used: number, isShort: boolean][] = [
+    [99, false],
+    [101, true],
+    [95, true],
+    [89, false],
+    [99, false],
+  ];
+  for (const [i, [bytes, isShort]] of steps.entries()) {
+    used = bytes;
+    await clock.runUntil((i + 1) * 1000 + 1);
+    assert.equal(guard.isShort, isShort, `step ${i}`);
+  }
+});
+
+// Thousands of changes of several KB each came with one answer, were refused as too large, and asked for again for ever.
+test('changes that are too many for one answer are read in pages', async () => {
+  const clock = new SimClock();
+  const asked: string[] = [];
+  let refuses = false;
+  const caller: HttpCaller = {
+    call: (_address, _method, target) => {
+      asked.push(target);
+      if (target.startsWith('/follow')) {
+        if (refuses) return Promise.reject(new AnswerTooLargeError('too large'));
+        return Promise.resolve({ status: 200, body: '{"epoch":1,"log":[]}' });
+      }
+      const value = refuses ? 'new' : 'old';
+      const body = JSON.stringify({ rows: [{ key: 'ph/j/a', v: value, stamp: 1 }], more: false, epoch: 1 });
+      refuses = false;
+      return Promise.resolve({ status: 200, body });
+    },
+  };
+  const client = new StateClient(caller, 'state:1', clock, { rps: 100, writesPerS: 50, txnOps: 10 }, 1);
+  const mirror = new Mirror(client, 'ph/', clock, silent);
+  void mirror.run();
+  await clock.runUntil(1000);
+  assert.equal(mirror.isLoaded, true);
+  refuses = true;
+  const pagesBefore = asked.filter((target) => target.startsWith('/keys')).length;
+  await clock.runUntil(3000);
+  assert.equal(mirror.isLoaded, true);
+  assert.equal(asked.filter((target) => target.startsWith('/keys')).length, pagesBefore + 1);
+});
+
+// The pages of a large fleet's list once went out at once, beyond the rate, and a refused page lost all before it.
+test('the list of a large fleet is read within its part of the rate, and renting goes on beside it', async () => {
+  const MACHINES = 6000;
+  const RPS = 7;
+  const clock = new SimClock();
+  const seen: { atMs: number; target: string }[] = [];
+  const listed: number[] = [];
+  const name = (i: number): string => `vm-${String(i).padStart(6, '0')}`;
+  const host = (i: number) => ({
+    uid: name(i),
+    address: 'x:1',
+    build: 'm',
+    yard: 'z',
+    phase: 'running',
+    ageS: 1,
+  });
+  const caller: HttpCaller = {
+    call: (_address, method, target) => {
+      seen.push({ atMs: clock.steadyMs(), target: `${method} ${target}` });
+      if (target === '/catalog') return Promise.resolve({ status: 200, body: '{"builds":[]}' });
+      if (method === 'POST') return Promise.resolve({ status: 200, body: '{"hearths":[]}' });
+      const since = /since=vm-(\d+)/.exec(target);
+      const from = since ? Number(since[1]) + 1 : 0;
+      const rows = Array.from({ length: Math.min(LIST_PAGE, MACHINES - from) }, (_, i) => host(from + i));
+      return Promise.resolve({
+        status: 200,
+        body: JSON.stringify({ hearths: rows, more: from + rows.length < MACHINES }),
+      });
+    },
+  };
+  const onEvent = (event: CloudEvent): void => {
+    if (event.kind === 'listed') listed.push(event.nodes.length);
+  };
+  const cloud = new Cloud(
+    caller,
+    'c:1',
+    RPS,
+    clock,
+    onEvent,
+    () => true,
+    silent,
+    () => undefined,
+  );
+  cloud.send({ kind: 'tick' });
+  const SECONDS = 60;
+  for (let s = 0; s < SECONDS; s += 2) {
+    cloud.send({
+      kind: 'rent',
+      rental: { name: `r-${s}`, offer: { type: 'm', zone: 'z', spot: false }, count: 1 },
+    });
+    await clock.runUntil(s * 1000);
+  }
+  await clock.runUntil(SECONDS * 1000);
+  assert.ok(listed.length >= 5 && listed.every((count) => count === MACHINES), `lists of ${listed.join()}`);
+  assert.equal(seen.filter(({ target }) => target === 'POST /hosts').length, SECONDS / 2);
+  for (let from = 0; from < SECONDS; from += 5) {
+    const calls = seen.filter(({ atMs }) => atMs >= from * 1000 && atMs < (from + 5) * 1000).length;
+    assert.ok(calls <= RPS * 6, `${calls} calls in the 5 s from ${from} s`);
+  }
+});
