--- a/src/constants.ts
+++ b/src/constants.ts
@@ -10,6 +10,10 @@
 export const MAX_HEAD_BYTES = 8 * 1024;
 /** count: header lines in one message; more is a flood. */
 export const MAX_HEADERS = 64;
+/** count: header lines whose check is remembered; hosts, types and lengths repeat with every request. */
+export const CHECKED_HEADER_LINES = 1024;
+/** bytes: longer lines are checked each time. */
+export const CHECKED_HEADER_BYTES = 64;
 /** bytes: an answer to us (a watch after an outage has no size limit; this bounds our memory). */
 export const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 /** bytes: of such an answer that are always taken; a page of the state service has at most half of this. */
@@ -120,6 +124,22 @@
 /** tasks: finished tasks kept as one bitmap per key: 8192 bits are 1.4 KB in base64, far below value_kb. */
 export const DONE_CHUNK_TASKS = 8_192;
 
+// --- least settings, below which a start warns -------------------------------------------------------
+/** requests a second: a controller that does not lead watches, and reads for its users now and then. */
+export const LEAST_FOLLOWER_RPS = 4;
+/** writes a second: below this a fleet of a hundred machines takes longer to record than to boot. */
+export const LEAST_LEADER_WRITES = 5;
+/** bytes of a value: a group of several machines, or a job with a list of types. */
+export const LEAST_VALUE_BYTES = 1024;
+/** puts in a transaction: a job and a few of its chunks, or a split group. */
+export const LEAST_TXN_OPS = 4;
+/** requests a second: one list, a rental and a return now and then. */
+export const LEAST_CLOUD_RPS = 1;
+/** sockets for clients: fewer are taken up by health checks and a few users. */
+export const FEWEST_CLIENT_SOCKETS = 100;
+/** reports that fit into a lease: one is lost, one finds its controller gone, one is on its way. */
+export const REPORTS_PER_LEASE = 4;
+
 // --- leadership ------------------------------------------------------------------------------------
 /** ms: life of the leader's lease; short, as workers' leases run on while nobody leads. */
 export const LEADER_TTL_MS = 3_000;
--- a/src/http/parser.ts
+++ b/src/http/parser.ts
@@ -1,4 +1,4 @@
-import { MAX_HEAD_BYTES, MAX_HEADERS } from '../constants.js';
+import { CHECKED_HEADER_BYTES, CHECKED_HEADER_LINES, MAX_HEAD_BYTES, MAX_HEADERS } from '../constants.js';
 
 /** A message as it stood on the wire: start line, headers in lower case, body. */
 export interface RawMessage {
@@ -21,6 +21,26 @@
 const TOKEN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
 const EMPTY = Buffer.alloc(0);
 
+/** A header line as it was checked: name in lower case, value. */
+type Header = readonly [name: string, value: string];
+
+/** Header lines that passed their check: each client sends the same few with every request. */
+const checkedLines = new Map<string, Header>();
+
+/** Throws HttpSyntaxError for what is no header line. */
+function checkHeaderLine(line: string): Header {
+  const colon = line.indexOf(':');
+  if (colon <= 0) throw new HttpSyntaxError(400, 'bad header');
+  const name = line.slice(0, colon);
+  const value = line.slice(colon + 1).trim();
+  if (!TOKEN.test(name) || /[\x00-\x08\x0a-\x1f\x7f]/.test(value))
+    throw new HttpSyntaxError(400, 'bad header');
+  const header: Header = [name.toLowerCase(), value];
+  if (checkedLines.size < CHECKED_HEADER_LINES && line.length <= CHECKED_HEADER_BYTES)
+    checkedLines.set(line, header);
+  return header;
+}
+
 type Stage = 'head' | 'length' | 'chunkSize' | 'chunkData' | 'chunkEnd' | 'trailer';
 
 /**
@@ -153,17 +173,11 @@
   }
 
   private addHeader(headers: Map<string, string>, line: string): void {
-    const colon = line.indexOf(':');
-    if (colon <= 0) throw new HttpSyntaxError(400, 'bad header');
-    const name = line.slice(0, colon);
-    const value = line.slice(colon + 1).trim();
-    if (!TOKEN.test(name) || /[\x00-\x08\x0a-\x1f\x7f]/.test(value))
-      throw new HttpSyntaxError(400, 'bad header');
-    const key = name.toLowerCase();
+    const [name, value] = checkedLines.get(line) ?? checkHeaderLine(line);
     // Two lengths, or a length and chunks, are how one message is smuggled inside another.
-    if (headers.has(key) && (key === 'content-length' || key === 'transfer-encoding' || key === 'host'))
-      throw new HttpSyntaxError(400, `repeated ${key}`);
-    headers.set(key, value);
+    if (headers.has(name) && (name === 'content-length' || name === 'transfer-encoding' || name === 'host'))
+      throw new HttpSyntaxError(400, `repeated ${name}`);
+    headers.set(name, value);
   }
 
   private beginBody(headers: Map<string, string>): RawMessage | undefined {
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -168,7 +168,18 @@
   };
   // With fewer sockets than clients, none may keep one while others are refused.
   const crowdedAt = Math.ceil(maxConnections * CROWDED_SHARE);
-  const isCrowded = (): boolean => connections.size > crowdedAt;
+  let toldCrowded = false;
+  const isCrowded = (): boolean => {
+    const crowded = connections.size > crowdedAt;
+    if (crowded && !toldCrowded)
+      log.warn(
+        { open: connections.size, limit: maxConnections },
+        'sockets are scarce: connections end early',
+      );
+    // Told again only after a while without.
+    if (crowded || connections.size < crowdedAt / 2) toldCrowded = crowded;
+    return crowded;
+  };
   const server = createServer({ allowHalfOpen: true }, (socket) => {
     if (connections.size >= maxConnections && !makeRoom()) {
       socket.destroy();
--- a/src/main.ts
+++ b/src/main.ts
@@ -8,6 +8,7 @@
 import { SocketCaller } from './http/client.js';
 import { serveHttp } from './http/server.js';
 import { PeerLinks } from './leadership/peers.js';
+import { settingsWarnings } from './settings-warnings.js';
 import { shareMemory } from './sizing.js';
 import { loadSettings, SettingsError, type Settings } from './settings.js';
 import packageJson from '../package.json' with { type: 'json' };
@@ -61,6 +62,7 @@
     process.exit(EXIT_LISTEN);
   }
   controller.start();
+  for (const warning of settingsWarnings(settings)) log.warn(warning);
   log.info(
     {
       version: packageJson.version,
--- a/src/simulation/cloud.ts
+++ b/src/simulation/cloud.ts
@@ -48,7 +48,7 @@
       }
       return json(200, {});
     }
-    if (body === undefined) return this.list();
+    if (body === undefined) return this.list(target.split('?')[1] ?? '');
     return this.rent(JSON.parse(body));
   }
 
@@ -65,8 +65,13 @@
     });
   }
 
-  private list(): HttpResponse {
-    const hearths = [...this.hosts.values()].map((h) => ({
+  /** One page of the machine list, which is ordered by name. */
+  private list(query: string): HttpResponse {
+    const parameters = new URLSearchParams(query);
+    const since = parameters.get('since') ?? '';
+    const page = Number(parameters.get('page') ?? this.hosts.size);
+    const later = [...this.hosts.values()].filter(({ name }) => name > since);
+    const hearths = later.slice(0, page).map((h) => ({
       uid: h.name,
       address: `${h.name}:1`,
       build: h.type,
@@ -75,7 +80,7 @@
       phase: h.worker ? 'running' : 'booting',
       ageS: (this.clock.steadyMs() - h.bornMs) / 1000,
     }));
-    return json(200, { hearths, more: false });
+    return json(200, { hearths, more: later.length > page });
   }
 
   private rent(ask: {
--- a/src/simulation/day.ts
+++ b/src/simulation/day.ts
@@ -27,12 +27,18 @@
   scale: number;
   /** Zones that have machines. */
   machineZones?: string[];
+  /** Seconds between two reports of a worker; lacking: those of a small deployment. */
+  reportS?: number;
+  /** Rates of the outside services; lacking: those of a small deployment. */
+  rates?: { rps: number; writesPerS: number; cloudRps: number };
   /** Limits that are announced for the state service. */
   next?: { valueBytes: number; txnOps: number };
 }
 
 const MACHINE = { sku: 'm4', cpus: 4, memGb: 16, bootS: 8, price: 0.2 };
 
+const SMALL_RATES = { rps: 200, writesPerS: 80, cloudRps: 6 };
+
 export const SMALL: DayOptions = { controllers: 3, machines: 24, scale: 1 };
 
 const membersOf = (options: DayOptions): string[] =>
@@ -40,6 +46,7 @@
 
 function settingsOf(member: string, options: DayOptions): Settings {
   const members = membersOf(options);
+  const rates = options.rates ?? SMALL_RATES;
   const zoneOf = (name: string): string => ZONES[members.indexOf(name) % 2]!;
   return {
     member,
@@ -75,11 +82,15 @@
     ],
     objectives: [{ cohort: 'batch', share: 0.9, times: 1 }],
     startObjectives: [],
-    reportS: REPORT_S,
+    reportS: options.reportS ?? REPORT_S,
     leaseS: LEASE_S,
     cancelS: CANCEL_S,
-    state: { rps: 200, writesPerS: 80, ...(options.next ?? { valueBytes: 8192, txnOps: 12 }) },
-    cloud: { rps: 6, listLagS: 0 },
+    state: {
+      rps: rates.rps,
+      writesPerS: rates.writesPerS,
+      ...(options.next ?? { valueBytes: 8192, txnOps: 12 }),
+    },
+    cloud: { rps: rates.cloudRps, listLagS: 0 },
     sockets: shareSockets(900),
     memoryBytes: 108 * 1024 * 1024,
     operator: { idleKeepS: 45, useSpot: true },
@@ -132,7 +143,7 @@
     this.rules = new SimRules(() => this.clock.steadyMs(), limits, CANCEL_S, UNDER_WAY_S);
     this.state = new SimStateService(this.clock, this.random);
     const controllers = this.members.map((member) => ({ member, address: `${member}:80` }));
-    const timing = { reportS: REPORT_S, leaseS: LEASE_S, fetchS: 1 };
+    const timing = { reportS: this.options.reportS ?? REPORT_S, leaseS: LEASE_S, fetchS: 1 };
     this.members.forEach((member) => this.network.setZone(member, settingsOf(member, options).zone));
     this.cloud = new SimCloud(
       this.clock,
@@ -268,6 +279,11 @@
     return phase;
   }
 
+  /** Who leads by the state service; undefined: nobody. */
+  get leader(): string | undefined {
+    return (this.state.peek('ph/leader') as { member: string } | undefined)?.member;
+  }
+
   isOver(job: SimJob): boolean {
     return this.rules.jobs.get(job.uid)!.told !== 'open';
   }
--- a/src/simulation/network.ts
+++ b/src/simulation/network.ts
@@ -16,10 +16,13 @@
   held: (() => void)[];
 }
 
+const wayOf = (from: string, to: string): string => `${from} > ${to}`;
+
 /** Carries messages between named hosts. A cut holds packets back and delivers them, in order, when it ends. */
 export class SimNetwork {
   private readonly hosts = new Map<string, SimHandler>();
-  private readonly cuts: Cut[] = [];
+  /** By who sends and who would receive. */
+  private readonly cuts = new Map<string, Cut>();
   private readonly zones = new Map<string, string>();
   private zonesCut = false;
   /** Hosts to which nothing is delivered, while what they send arrives. */
@@ -49,7 +52,8 @@
   }
 
   cut(a: string, b: string): void {
-    this.cuts.push({ from: a, to: b, held: [] }, { from: b, to: a, held: [] });
+    this.addCut(a, b);
+    this.addCut(b, a);
   }
 
   /** What the host sends arrives, answers and commands do not reach it. */
@@ -102,12 +106,18 @@
   }
 
   private cutBetween(from: string, to: string): Cut | undefined {
-    const known = this.cuts.find((c) => c.from === from && c.to === to);
+    const known = this.cuts.get(wayOf(from, to));
     if (known || !this.zonesCut) return known;
     const [a, b] = [this.zones.get(from), this.zones.get(to)];
     if (a === undefined || b === undefined || a === b) return undefined;
-    const cut = { from, to, held: [] };
-    this.cuts.push(cut);
+    return this.addCut(from, to);
+  }
+
+  private addCut(from: string, to: string): Cut {
+    const known = this.cuts.get(wayOf(from, to));
+    if (known) return known;
+    const cut: Cut = { from, to, held: [] };
+    this.cuts.set(wayOf(from, to), cut);
     return cut;
   }
 
@@ -115,7 +125,9 @@
     this.zonesCut = false;
     this.deaf.clear();
     this.silenced.clear();
-    for (const cut of this.cuts.splice(0)) for (const deliver of cut.held) this.clock.after(1, deliver);
+    const cuts = [...this.cuts.values()];
+    this.cuts.clear();
+    for (const cut of cuts) for (const deliver of cut.held) this.clock.after(1, deliver);
   }
 
   deliver(from: string, to: string, run: () => void): void {
--- a/test/close-looks.test.ts
+++ b/test/close-looks.test.ts
@@ -6,9 +6,6 @@
 
 /** Users who look closely: at all controllers at once, while writes are unclear, or with many short jobs. */
 
-const leaderOf = (day: SimDay): string =>
-  (day.state.peek('ph/leader') as { member: string } | undefined)?.member ?? day.members[0]!;
-
 const phaseOf = (response: HttpResponse | undefined): string | undefined =>
   response?.status === 200 || response?.status === 201
     ? (JSON.parse(response.body) as { phase: string }).phase
@@ -82,7 +79,7 @@
         void submit();
       });
     for (let second = 10; second < 60; second++) submitAt(second, second % 3 === 0);
-    day.at(35, () => day.crash(leaderOf(day), 1500));
+    day.at(35, () => day.crash(day.leader ?? day.members[0]!, 1500));
     await day.clock.runUntil(110_000);
     assert.deepEqual(day.rules.broken, []);
     const counts = (phase: string): number => seen.filter((each) => each === phase).length;
@@ -104,7 +101,7 @@
       day.at(5 + i * 5, () => jobs.push(day.submit({ tasks: 1 + (i % 4), runS: 10 })));
     for (let i = 0; i < 8; i++) day.at(6 + i * 6, () => day.submit({ tasks: 2, cpus: 1, runS: 300 }, 8));
     day.at(15, () => (share = 0.4));
-    day.at(40, () => day.crash(leaderOf(day), 500));
+    day.at(40, () => day.crash(day.leader ?? day.members[0]!, 500));
     day.at(70, () => (share = 0));
     day.calmMs = 75_000;
     await day.clock.runUntil(200_000);
@@ -125,7 +122,7 @@
     day.at(10 + i / 4, () => {
       jobs.push(day.submit({ tasks: 1, cpus: 1, runS: 3 }, i % 4 === 0 ? 1 + (i % 5) : undefined));
     });
-  day.at(40, () => day.crash(leaderOf(day), 1500));
+  day.at(40, () => day.crash(day.leader ?? day.members[0]!, 1500));
   day.calmMs = 75_000;
   await day.clock.runUntil(220_000);
   day.rules.checkServed(75_000);
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -5,9 +5,6 @@
 
 /** Troubles that meet. Each day brings about one of the users' list; what guards against it stands in docs/design.md. */
 
-const leaderOf = (day: SimDay): string =>
-  (day.state.peek('ph/leader') as { member: string } | undefined)?.member ?? day.members[0]!;
-
 const others = (day: SimDay, member: string): string[] => day.members.filter((m) => m !== member);
 
 const hostsOf = (day: SimDay, count: number): string[] =>
@@ -58,7 +55,7 @@
     test(`the gap: the leader refused alone, ${offsetS} s later an outage (seed ${seed})`, async () => {
       const day = new SimDay(seed);
       calledOff(day, spread(50.1, 50 + offsetS, 12));
-      day.at(50, () => day.state.refused.add(leaderOf(day)));
+      day.at(50, () => day.state.refused.add(day.leader ?? day.members[0]!));
       day.at(50 + offsetS, () => day.state.refused.add('*'));
       day.at(50 + offsetS + 52, () => day.state.endOutage());
       await day.clock.runUntil(130_000);
@@ -73,8 +70,8 @@
  * of knowledge: the leader starts nothing, and stops answering while the rest of the chain still fits into cancel_s.
  */
 for (const [who, formers] of [
-  ['its peers are', (day: SimDay) => others(day, leaderOf(day))],
-  ['one of its peers is', (day: SimDay) => others(day, leaderOf(day)).slice(1)],
+  ['its peers are', (day: SimDay) => others(day, day.leader ?? day.members[0]!)],
+  ['one of its peers is', (day: SimDay) => others(day, day.leader ?? day.members[0]!).slice(1)],
 ] as const) {
   test(`the gap while ${who} of a former version`, async () => {
     for (const seed of [1, 2]) {
@@ -85,7 +82,7 @@
       day.at(50, () => {
         for (const uid of [...day.rules.jobs.keys()].slice(-1)) void day.cancel(uid);
         for (const member of formers(day)) day.peers.former.add(member);
-        day.state.refused.add(leaderOf(day));
+        day.state.refused.add(day.leader ?? day.members[0]!);
       });
       day.at(51, () => day.state.refused.add('*'));
       day.at(110, () => day.state.endOutage());
@@ -109,7 +106,7 @@
   const report = { hearth: 'vm-999999', address: 'x:1', build: 'm4', yard: 'east', loaner: false };
   const body = { ...report, tenure: 1, tick: 1, baton: 0, warningS: null, pieces };
   let answer: { status: number; body: string } | undefined;
-  void day.askOne(leaderOf(day), 'POST', '/v1/report', body).then((r) => (answer = r));
+  void day.askOne(day.leader ?? day.members[0]!, 'POST', '/v1/report', body).then((r) => (answer = r));
   await day.clock.runUntil(42_000);
   assert.equal(answer?.status, 200);
   const { orders } = JSON.parse(answer!.body) as { orders: unknown[] };
@@ -130,8 +127,8 @@
     trouble: (day) => {
       day.at(15, () => (day.state.lateShare = 0.3));
       calledOff(day, spread(20, 80, 8));
-      day.at(45, () => day.crash(leaderOf(day), 300));
-      day.at(70, () => day.crash(leaderOf(day), 4000));
+      day.at(45, () => day.crash(day.leader ?? day.members[0]!, 300));
+      day.at(70, () => day.crash(day.leader ?? day.members[0]!, 4000));
       day.at(85, () => (day.state.lateShare = 0));
     },
     calmS: 100,
@@ -153,7 +150,7 @@
       day.at(6, () => day.submit({ tasks: 16, cpus: 1, runS: 90 }));
       calledOff(day, spread(44, 60, 8));
       day.at(40, () => hostsOf(day, 6).forEach((host) => day.network.silence(host)));
-      day.at(52, () => day.crash(leaderOf(day), 2000));
+      day.at(52, () => day.crash(day.leader ?? day.members[0]!, 2000));
       day.at(90, () => day.network.heal());
     },
     calmS: 95,
@@ -166,8 +163,8 @@
       day.at(44, () => {
         for (const host of hostsOf(day, 5)) day.members.forEach((c) => day.network.cut(host, c));
       });
-      day.at(45, () => day.crash(leaderOf(day), 3000));
-      day.at(58, () => day.crash(leaderOf(day), 3000));
+      day.at(45, () => day.crash(day.leader ?? day.members[0]!, 3000));
+      day.at(58, () => day.crash(day.leader ?? day.members[0]!, 3000));
       day.at(75, () => day.network.heal());
     },
     calmS: 85,
@@ -177,7 +174,8 @@
     name: 'ten leaders in two minutes, also inside an outage',
     trouble: (day) => {
       calledOff(day, spread(36, 120, 10));
-      for (let i = 0; i < 10; i++) day.at(35 + i * 9, () => day.crash(leaderOf(day), 400 + (i % 3) * 1500));
+      for (let i = 0; i < 10; i++)
+        day.at(35 + i * 9, () => day.crash(day.leader ?? day.members[0]!, 400 + (i % 3) * 1500));
       day.at(84, () => day.state.refused.add('*'));
       day.at(102, () => day.state.endOutage());
     },
@@ -189,7 +187,7 @@
       day.at(6, () => day.submit({ tasks: 16, cpus: 1, runS: 90 }));
       calledOff(day, spread(41, 75, 10));
       day.at(40, () => {
-        const leader = leaderOf(day);
+        const leader = day.leader ?? day.members[0]!;
         for (const other of ['state', ...others(day, leader)]) day.network.cut(leader, other);
       });
       day.at(80, () => day.network.heal());
@@ -203,7 +201,7 @@
       calledOff(day, spread(38, 62, 12));
       day.at(36, () => (day.state.slowMs = () => 200 + day.random() * 1_200));
       day.at(55, () => (day.state.slowMs = undefined));
-      day.at(55, () => day.state.refused.add(leaderOf(day)));
+      day.at(55, () => day.state.refused.add(day.leader ?? day.members[0]!));
       day.at(57, () => day.state.refused.add('*'));
       day.at(97, () => day.state.endOutage());
     },
@@ -234,7 +232,7 @@
     name: 'called off at the moment at which the leader is refused alone, their machines hang, a second later an outage',
     trouble: (day) => {
       calledOff(day, spread(50, 50.2, 10));
-      day.at(50, () => day.state.refused.add(leaderOf(day)));
+      day.at(50, () => day.state.refused.add(day.leader ?? day.members[0]!));
       day.at(50.1, () => {
         const hanging = hostsOf(day, 6).map((host) => day.cloud.hosts.get(host)!.worker!);
         for (const worker of hanging) worker.hanging = true;
@@ -254,7 +252,7 @@
       day.at(12, () => day.submit({ tasks: 6, runS: 40, zone: 'west' }));
       day.at(14, () => day.submit({ kind: 'service', team: 'red', tasks: 2, oneZone: true }));
       for (const s of [30, 42, 54]) day.at(s, () => hostsOf(day, 3).forEach((host) => day.cloud.take(host)));
-      day.at(42.5, () => day.crash(leaderOf(day), 1000));
+      day.at(42.5, () => day.crash(day.leader ?? day.members[0]!, 1000));
     },
     calmS: 60,
   },
@@ -270,7 +268,7 @@
     name: 'controllers hand over and back, all end, one returns within a second',
     trouble: (day) => {
       calledOff(day, spread(41, 60, 6));
-      for (const s of [40, 44, 48]) day.at(s, () => day.crash(leaderOf(day), 300));
+      for (const s of [40, 44, 48]) day.at(s, () => day.crash(day.leader ?? day.members[0]!, 300));
       day.at(52, () => day.members.forEach((c, i) => day.crash(c, i === 1 ? 700 : 6_000)));
       day.at(60, () => day.members.forEach((c, i) => day.crash(c, i === 2 ? 300 : 9_000)));
     },
@@ -283,12 +281,12 @@
       calledOff(day, spread(41, 60, 8));
       [40, 48, 56].forEach((s, i) => {
         day.at(s, () => {
-          const leader = leaderOf(day);
+          const leader = day.leader ?? day.members[0]!;
           for (const host of hostsOf(day, 5 + i)) day.network.cut(leader, host);
         });
         day.at(s + 5, () => day.network.heal());
       });
-      day.at(50, () => day.crash(leaderOf(day), 1500));
+      day.at(50, () => day.crash(day.leader ?? day.members[0]!, 1500));
     },
     calmS: 70,
     held: true,
@@ -306,7 +304,7 @@
           .slice(4)
           .forEach((host) => day.network.deafen(host)),
       );
-      day.at(44, () => day.crash(leaderOf(day), 5000));
+      day.at(44, () => day.crash(day.leader ?? day.members[0]!, 5000));
       day.at(75, () => day.network.heal());
     },
     calmS: 85,
@@ -321,7 +319,7 @@
             day.network.copyLate(host, () => 2_000 + day.random() * 40_000);
         });
       calledOff(day, spread(38, 70, 8));
-      for (const s of [40, 52, 64]) day.at(s, () => day.crash(leaderOf(day), 500));
+      for (const s of [40, 52, 64]) day.at(s, () => day.crash(day.leader ?? day.members[0]!, 500));
       day.at(45, () => day.state.refused.add('*'));
       // Longer than a lease with nobody to answer: sessions end.
       day.at(46, () => day.members.forEach((c) => day.crash(c, 300)));
@@ -346,7 +344,7 @@
     trouble: (day) => {
       for (let i = 0; i < 6; i++)
         day.at(20 + i * 4, () => day.submit({ tasks: 2 + (i % 2), cpus: 4, runS: 6 + i * 6 }));
-      for (const s of [40, 47, 54, 61]) day.at(s, () => day.crash(leaderOf(day), 600));
+      for (const s of [40, 47, 54, 61]) day.at(s, () => day.crash(day.leader ?? day.members[0]!, 600));
       day.at(66, () => day.state.refused.add('*'));
       day.at(74, () => day.state.endOutage());
     },
@@ -358,7 +356,7 @@
       for (let i = 0; i < 4; i++)
         day.at(10 + i * 5, () => day.submit({ tasks: 14, runS: 15, dueS: i % 2 ? 50 : null }));
       for (let i = 0; i < 3; i++) day.at(22 + i * 10, () => day.submit({ kind: 'service', tasks: 3 }));
-      for (const s of [35, 50]) day.at(s, () => day.crash(leaderOf(day), 1500));
+      for (const s of [35, 50]) day.at(s, () => day.crash(day.leader ?? day.members[0]!, 1500));
       calledOff(day, spread(40, 60, 4));
     },
     calmS: 60,
@@ -374,7 +372,7 @@
             else if (seen.told === 'done') void day.cancel(seen.job.uid);
           }
         });
-      day.at(45, () => day.crash(leaderOf(day), 2000));
+      day.at(45, () => day.crash(day.leader ?? day.members[0]!, 2000));
     },
     calmS: 85,
   },
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -7,9 +7,6 @@
 
 const LOW = { valueBytes: 2048, txnOps: 4 };
 
-const leaderOf = (day: SimDay): string =>
-  (day.state.peek('ph/leader') as { member: string } | undefined)?.member ?? day.members[0]!;
-
 /** Runs until a request of a user is answered. */
 async function ask(day: SimDay, member: string, path: string, body?: unknown) {
   let response: { status: number; body: string } | undefined;
@@ -115,14 +112,15 @@
   { name: 'quiet', trouble: () => undefined, calmS: 10 },
   {
     name: 'leaders end one after the other',
-    trouble: (day) => [30, 41, 52, 63].forEach((s) => day.at(s, () => day.crash(leaderOf(day), 1_500))),
+    trouble: (day) =>
+      [30, 41, 52, 63].forEach((s) => day.at(s, () => day.crash(day.leader ?? day.members[0]!, 1_500))),
     calmS: 75,
   },
   {
     name: 'late transactions, and a crash',
     trouble: (day) => {
       day.at(15, () => (day.state.lateShare = 0.3));
-      day.at(45, () => day.crash(leaderOf(day), 400));
+      day.at(45, () => day.crash(day.leader ?? day.members[0]!, 400));
       day.at(75, () => (day.state.lateShare = 0));
     },
     calmS: 95,
@@ -130,13 +128,13 @@
   {
     name: 'an outage, with cancellations in the gap before it and a crash in it',
     trouble: (day) => {
-      day.at(40, () => day.state.refused.add(leaderOf(day)));
+      day.at(40, () => day.state.refused.add(day.leader ?? day.members[0]!));
       day.at(40.2, () => {
         for (const [uid, seen] of [...day.rules.jobs].slice(0, 20))
           if (seen.told === 'open') void day.cancel(uid);
       });
       day.at(41.5, () => day.state.refused.add('*'));
-      day.at(60, () => day.crash(leaderOf(day), 500));
+      day.at(60, () => day.crash(day.leader ?? day.members[0]!, 500));
       day.at(85, () => day.state.endOutage());
     },
     calmS: 100,
@@ -156,7 +154,7 @@
       day.members.slice(1).forEach((member) => day.peers.former.add(member));
       day.at(30, () => day.peers.former.clear());
       day.at(32, () => (day.state.limits = LOW));
-      [34, 46].forEach((s) => day.at(s, () => day.crash(leaderOf(day), 800)));
+      [34, 46].forEach((s) => day.at(s, () => day.crash(day.leader ?? day.members[0]!, 800)));
     },
     calmS: 60,
     options: { ...SMALL, next: LOW },
--- a/test/simulation.test.ts
+++ b/test/simulation.test.ts
@@ -24,9 +24,6 @@
 
 const anyHost = (day: SimDay): string | undefined => [...day.cloud.hosts.keys()][0];
 
-const leaderOf = (day: SimDay): string | undefined =>
-  (day.state.peek('ph/leader') as { member: string } | undefined)?.member;
-
 function deafen(day: SimDay, count: number): void {
   for (const host of [...day.cloud.hosts.keys()].slice(0, count)) day.network.deafen(host);
 }
@@ -177,13 +174,13 @@
     name: 'controllers stand still, what they said last comes after the pause',
     trouble: (day) => {
       [3_000, 6_000, 20_000].forEach((ms, i) =>
-        day.at(35 + i * 25, () => day.freeze(leaderOf(day) ?? 'c0', ms)),
+        day.at(35 + i * 25, () => day.freeze(day.leader ?? 'c0', ms)),
       );
       // One after the other, whether it stands, promises, relays or keeps leases.
       day.at(110, () => day.members.forEach((c) => day.crash(c, 100)));
       day.members.forEach((c, i) => day.at(111.7 + i / 4, () => day.freeze(c, 2_000 + i * 1_500)));
       day.at(130, () => day.state.refused.add('*'));
-      day.at(134, () => day.freeze(leaderOf(day) ?? 'c0', 4_000));
+      day.at(134, () => day.freeze(day.leader ?? 'c0', 4_000));
       day.at(140, () => day.state.endOutage());
     },
     calmS: 150,
@@ -464,16 +461,15 @@
   for (let i = 0; i < 10; i++)
     day.at(5 + i * 12, () => day.submit({ tasks: 1 + ((i * 3) % 7), runS: 8 + i }));
   const term = (): number => (day.state.peek('ph/term') as { term: number }).term;
-  const leader = (): unknown => leaderOf(day);
   await day.clock.runUntil(60_000);
   // The only controller among the machines leads by then.
-  assert.equal(leader(), 'c1');
+  assert.equal(day.leader, 'c1');
   const before = term();
   day.crash('c1', 1_500);
   await day.clock.runUntil(76_000);
-  assert.notEqual(leader(), 'c1');
+  assert.notEqual(day.leader, 'c1');
   assert.equal(term(), before + 1);
   await day.clock.runUntil(120_000);
-  assert.equal(leader(), 'c1');
+  assert.equal(day.leader, 'c1');
   assert.deepEqual(day.rules.broken, []);
 });
--- a/test/sizing.test.ts
+++ b/test/sizing.test.ts
@@ -2,6 +2,8 @@
 import { test } from 'node:test';
 import { pino } from 'pino';
 import { CROWDED_SHARE, GROUP_SPACING_MS, KEPT_BATCH, LIST_PAGE, RENT_MAX } from '../src/constants.js';
+import { settingsWarnings } from '../src/settings-warnings.js';
+import type { Settings } from '../src/settings.js';
 import { Cloud, type CloudEvent } from '../src/cloud/cloud.js';
 import type { HttpCaller } from '../src/http/message.js';
 import { AnswerTooLargeError } from '../src/http/message.js';
@@ -59,6 +61,39 @@
   }
 });
 
+test('settings under which promises cannot be held are named at the start, one line each', () => {
+  const good = {
+    controllers: 3,
+    leaseS: 14,
+    reportS: 1.5,
+    cancelS: 39,
+    state: { rps: 200, writesPerS: 80, valueBytes: 8192, txnOps: 12 },
+    cloud: { rps: 6, listLagS: 5 },
+    sockets: shareSockets(900),
+    memoryBytes: 108 * MB,
+  } as Settings;
+  const cases: [changed: Partial<Settings>, warnings: RegExp[]][] = [
+    [{}, []],
+    [{ state: { ...good.state, rps: 10 } }, [/^state.rps is 10, needed are 22.23: /]],
+    [{ controllers: 50 }, [/^state.rps is 200, needed are 370.38: /]],
+    [{ state: { ...good.state, writesPerS: 4 } }, [/^state.write_rps is 4, /]],
+    [
+      { state: { ...good.state, valueBytes: 512, txnOps: 2 } },
+      [/^state.value_kb is 0.5/, /^state.txn_ops is 2/],
+    ],
+    [{ cloud: { rps: 0.5, listLagS: 5 } }, [/^cloud.rps is 0.5/]],
+    [{ sockets: shareSockets(128) }, [/max_connections \(for clients\) is 76, needed are 100/]],
+    [{ memoryBytes: 64 * MB }, [/^quota.mem_mb is 64, needed are 100/]],
+    [{ leaseS: 5 }, [/^workers.lease_s is 5, needed are 6/]],
+    [{ cancelS: 15 }, [/^workers.cancel_s is 15, needed are 20.5/]],
+  ];
+  for (const [changed, expected] of cases) {
+    const warnings = settingsWarnings({ ...good, ...changed });
+    assert.equal(warnings.length, expected.length, warnings.join('\n'));
+    expected.forEach((pattern, i) => assert.match(warnings[i]!, pattern));
+  }
+});
+
 test('users are turned away while memory is short, and taken again only once it has eased', async () => {
   const clock = new SimClock();
   let used = 10;
