--- a/src/controller.ts
+++ b/src/controller.ts
@@ -93,7 +93,7 @@
       clock,
       log,
       refuses: (member) => peers.refuses(member),
-      heardMs: (member) => this.election.heardOfMs(member),
+      heardMs: (member) => this.election.others.heardOfMs(member),
     });
     const { shedAbove } = shareMemory(settings.memoryBytes, settings.peers.length);
     this.memory = new MemoryGuard(clock, world.memoryUsedBytes, shedAbove, log);
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -2,22 +2,14 @@
 import { Actor } from '../actor.js';
 import type { Clock } from '../clock.js';
 import {
-  CLOCK_DRIFT,
   PROMISE_ASK_MS,
-  PROMISE_MARGIN_MS,
   PROMISE_MS,
   HANDOVER_AFTER_MS,
-  HANDOVER_MACHINES,
   HANDOVER_PAUSE_MS,
-  HANDOVER_SHARE,
   HANDOVER_TERM_MS,
   LEADER_TOUCH_MS,
   LEADER_TTL_MS,
-  LOG_NUMBERS,
   PEER_BEAT_MS,
-  PEER_FRAME_BYTES,
-  PROBE_MS,
-  ROW_EXTRA_BYTES,
   CANDIDACY_JITTER_MS,
   CANDIDACY_FAR_MS,
   STATE_CALL_MS,
@@ -25,22 +17,17 @@
 } from '../constants.js';
 import type { Row, StateClient, TxnResult } from '../state/client.js';
 import type { Mirror } from '../state/mirror.js';
-import {
-  decodeGroup,
-  decodeJob,
-  GROUPS,
-  isCancelled,
-  isJobKey,
-  LEADER_KEY,
-  TERM_KEY,
-} from '../state/records.js';
+import { decodeJob, isCancelled, isJobKey, LEADER_KEY, TERM_KEY } from '../state/records.js';
 import { isObject, type WireInt } from '../wire/json.js';
 import { Authority } from './authority.js';
-import { CancellationLog, type LogPosition } from './cancellation-log.js';
+import type { LogPosition } from './cancellation-log.js';
 import type { Knowledge } from './knowledge.js';
+import { MachineZones } from './machine-zones.js';
 import type { PeerMessage } from './peer-codec.js';
+import { PeerPresence } from './peer-presence.js';
 import type { Peer, PeerChannel } from './peers.js';
 import { PromiseRound } from './promise-round.js';
+import { Promiser } from './promiser.js';
 
 /** A term that this controller holds. */
 export interface Term {
@@ -83,22 +70,12 @@
   private nextCandidacyMs: number;
   private steppedDownUntilMs = -Infinity;
   private nextHandOverMs = -Infinity;
-  private readonly able = new Set<string>();
-  /** Whose reports each other controller would relay. */
-  private readonly relays = new Map<string, string | null>();
-  private promisedUntilMs: number;
+  private readonly presence: PeerPresence;
+  private readonly promiser: Promiser;
   private askId = 0;
-  /** Steady ms since when the state service is asked whether it serves us; undefined: it is not. */
-  private probingMs: number | undefined;
-  private readonly heardMs = new Map<string, number>();
-  /** Since when each other controller is heard of without a gap. */
-  private readonly upSinceMs = new Map<string, number>();
   private round: PromiseRound | undefined;
-  /** The cancelled jobs in our copy, for a leader that the state service does not serve. */
-  private readonly cancellations: CancellationLog;
   /** How far each other controller's log has been taken into our copy. */
   private readonly logsRead = new Map<string, LogPosition>();
-  private readonly rowsPerMessage: number;
 
   constructor(
     private readonly self: { member: string; zone: string },
@@ -116,17 +93,22 @@
     log: Logger,
   ) {
     super(log);
-    const now = clock.steadyMs();
-    // A restarted controller does not know what its former self promised: it waits the longest promise out,
-    // counted from when this process began.
-    this.promisedUntilMs =
-      peers.length > 0 ? bornMs + PROMISE_MS * (1 + CLOCK_DRIFT) + PROMISE_MARGIN_MS : now;
-    this.nextCandidacyMs = this.promisedUntilMs + this.candidacyDelayMs();
-    this.cancellations = new CancellationLog(Math.floor(random() * LOG_NUMBERS));
-    this.rowsPerMessage = Math.max(1, Math.floor(PEER_FRAME_BYTES / 4 / (valueBytes + ROW_EXTRA_BYTES)));
+    this.presence = new PeerPresence(peers, () => clock.steadyMs());
+    this.promiser = new Promiser(
+      {
+        client,
+        mirror,
+        channel,
+        nowMs: () => clock.steadyMs(),
+        random,
+        valueBytes,
+        isFollowing: () => this.state === 'following',
+      },
+      peers.length > 0 ? bornMs : undefined,
+    );
+    this.nextCandidacyMs = this.promiser.boundUntilMs + this.candidacyDelayMs();
     mirror.onChange((change) => {
-      if (isJobKey(change.key) && isCancelled(change.value))
-        this.cancellations.note(change.key, change.stamp);
+      this.promiser.noteChange(change);
       if (change.key === LEADER_KEY) this.send({ kind: 'leaderChanged' });
     });
     channel.onMessage((member, message) => this.send({ kind: 'peer', member, message }));
@@ -145,14 +127,14 @@
     const now = this.clock.steadyMs();
     const able = this.client.isServed && now >= this.steppedDownUntilMs;
     const leader = this.leader();
-    const relays = leader !== undefined && this.hears(leader) ? leader : null;
+    const relays = leader !== undefined && this.presence.hears(leader) ? leader : null;
     for (const peer of this.peers) this.channel.send(peer.member, { kind: 'able', able, relays });
     this.clock.after(PEER_BEAT_MS, () => this.tellAble());
   }
 
-  /** Steady ms at which another controller was last heard of. */
-  heardOfMs(member: string): number {
-    return this.heardMs.get(member) ?? -Infinity;
+  /** What is known of the other controllers. */
+  get others(): PeerPresence {
+    return this.presence;
   }
 
   /**
@@ -163,7 +145,7 @@
   get isHealthy(): boolean {
     if (!this.mirror.isLoaded) return false;
     if (this.client.isServed || this.peers.length === 0) return true;
-    return this.isHeard() && ![...this.able].some((member) => this.hears(member));
+    return this.presence.hearsAnyone() && !this.presence.hearsAbleOne();
   }
 
   /** Whether there is surely no leader at this moment, so that one can be expected soon. */
@@ -174,38 +156,26 @@
   /** Whether the leader that this controller knows of may be named to workers: not on stale knowledge. */
   get knowsLeader(): boolean {
     const leader = this.leader();
-    return leader !== undefined && (this.client.isServed || this.hears(leader));
+    return leader !== undefined && (this.client.isServed || this.presence.hears(leader));
   }
 
   /** The leader, if it is heard of and not this controller. */
   reachableLeader(): string | undefined {
     const leader = this.leader();
-    return leader !== undefined && leader !== this.self.member && this.hears(leader) ? leader : undefined;
+    return leader !== undefined && leader !== this.self.member && this.presence.hears(leader)
+      ? leader
+      : undefined;
   }
 
   /** The controllers of a zone that take reports for the leader, or lead; in a fixed order. */
   reportTargets(zone: string): string[] {
     const leader = this.leader();
-    if (leader === undefined) return [];
-    const takes = ({ member }: Peer): boolean =>
-      this.hears(member) && (member === leader || this.relays.get(member) === leader);
-    return this.peers.filter((peer) => peer.zone === zone && takes(peer)).map((peer) => peer.member);
-  }
-
-  private hears(member: string): boolean {
-    return this.clock.steadyMs() - this.heardOfMs(member) < 3 * PEER_BEAT_MS;
+    return leader === undefined ? [] : this.presence.reportTargets(zone, leader);
   }
 
-  private isHeard(): boolean {
-    return this.peers.some((peer) => this.hears(peer.member));
-  }
-
-  /** Whether a zone has other controllers and none of them was heard of lately. */
+  /** Whether another zone has controllers and none of them was heard of lately. */
   zoneSilent(zone: string): boolean {
-    const there = this.peers.filter((peer) => peer.zone === zone);
-    if (there.length === 0 || zone === this.self.zone) return false;
-    const now = this.clock.steadyMs();
-    return there.every((peer) => now - this.heardOfMs(peer.member) > 2 * PEER_BEAT_MS);
+    return zone !== this.self.zone && this.presence.isZoneSilent(zone);
   }
 
   private beatMs(): number {
@@ -273,25 +243,8 @@
     }
   }
 
-  /** Machines per zone, by the records of the leaders. */
-  private machinesByZone(): Map<string, number> {
-    const counts = new Map<string, number>();
-    for (const row of this.mirror.startingWith(GROUPS)) {
-      const group = decodeGroup(row.value);
-      if (group) counts.set(group.zone, (counts.get(group.zone) ?? 0) + group.members.size);
-    }
-    return counts;
-  }
-
-  /** A leader in a zone with nearly no machines is cut off from all of them when the zones are. */
-  private isFar(member: string, machines: ReadonlyMap<string, number>): boolean {
-    const zone = [this.self, ...this.peers].find((each) => each.member === member)!.zone;
-    const most = Math.max(0, ...machines.values());
-    return most >= HANDOVER_MACHINES && (machines.get(zone) ?? 0) <= most * HANDOVER_SHARE;
-  }
-
   private candidacyDelayMs(): number {
-    return this.isFar(this.self.member, this.machinesByZone()) ? CANDIDACY_FAR_MS : 0;
+    return MachineZones.read(this.mirror).isFar(this.self.zone) ? CANDIDACY_FAR_MS : 0;
   }
 
   /** A leader far from the machines makes way for a controller among them that is heard of. */
@@ -300,14 +253,10 @@
     // Seldom, and only to one that says it could lead: a peer may be heard that the state service does not serve.
     if (now - this.leading!.sinceMs < HANDOVER_TERM_MS || now < this.nextHandOverMs || this.client.failing)
       return;
-    const machines = this.machinesByZone();
-    if (!this.isFar(this.self.member, machines)) return;
+    const machines = MachineZones.read(this.mirror);
+    if (!machines.isFar(this.self.zone)) return;
     const better = this.peers.find(
-      (peer) =>
-        this.able.has(peer.member) &&
-        now - (this.upSinceMs.get(peer.member) ?? Infinity) > HANDOVER_AFTER_MS &&
-        now - this.heardOfMs(peer.member) < 2 * PEER_BEAT_MS &&
-        !this.isFar(peer.member, machines),
+      ({ member, zone }) => this.presence.isReadyToLead(member, HANDOVER_AFTER_MS) && !machines.isFar(zone),
     );
     if (!better) return;
     this.nextHandOverMs = now + HANDOVER_PAUSE_MS;
@@ -336,7 +285,7 @@
       }
       return;
     }
-    if (now < this.promisedUntilMs) return;
+    if (now < this.promiser.boundUntilMs) return;
     this.state = 'candidate';
     void this.campaign();
   }
@@ -435,62 +384,17 @@
   }
 
   private onPeer(member: string, message: PeerMessage): void {
-    const now = this.clock.steadyMs();
-    if (now - this.heardOfMs(member) > 2 * PEER_BEAT_MS) this.upSinceMs.set(member, now);
-    this.heardMs.set(member, now);
-    if (message.kind === 'able') {
-      if (message.able) this.able.add(member);
-      else this.able.delete(member);
-      this.relays.set(member, message.relays);
-    } else if (message.kind === 'ask') {
-      this.onAsk(member, message);
-    } else if (message.kind === 'cancellations') {
-      this.onCancellations(member, message);
-    } else if (message.kind === 'promise') {
-      this.onPromise(member, message);
-    }
-  }
-
-  private onAsk(member: string, { id, term, since, read }: Extract<PeerMessage, { kind: 'ask' }>): void {
-    const given = this.mayPromise(term);
-    if (!given) {
-      this.channel.send(member, { kind: 'promise', id, term, given });
-      return;
+    this.presence.noteMessage(member);
+    switch (message.kind) {
+      case 'able':
+        return this.presence.noteAbility(member, message);
+      case 'ask':
+        return this.promiser.answer(member, message);
+      case 'cancellations':
+        return this.onCancellations(member, message);
+      case 'promise':
+        return this.onPromise(member, message);
     }
-    const until = this.clock.steadyMs() + PROMISE_MS * (1 + CLOCK_DRIFT) + PROMISE_MARGIN_MS;
-    this.promisedUntilMs = Math.max(this.promisedUntilMs, until);
-    this.channel.send(member, {
-      kind: 'promise',
-      id,
-      term,
-      given,
-      informs: this.inform(member, id, term, since, read),
-    });
-  }
-
-  /**
-   * Passes on the cancellations that an asking leader lacks. Who does not know can't: a process whose copy is not
-   * loaded could miss what its former self confirmed to users.
-   */
-  private inform(
-    member: string,
-    id: number,
-    term: number,
-    since: WireInt | undefined,
-    read: LogPosition | undefined,
-  ): { parts: number; at: LogPosition } | undefined {
-    const keys = since === undefined ? undefined : this.cancellations.after(read, since);
-    if (!keys || !this.mirror.isLoaded) return undefined;
-    const rows = keys.map((key) => this.mirror.get(key)).filter((row) => row !== undefined);
-    let parts = 0;
-    for (let from = 0; from < rows.length; from += this.rowsPerMessage, parts++)
-      this.channel.send(member, {
-        kind: 'cancellations',
-        id,
-        term,
-        rows: rows.slice(from, from + this.rowsPerMessage),
-      });
-    return { parts, at: this.cancellations.position };
   }
 
   private onCancellations(
@@ -522,25 +426,6 @@
     this.logsRead.set(member, completeTo);
     if (round.takeInformed(member)) this.knowledge.learned(round.askedMs);
   }
-
-  /** Only who is not served either: with one that is, the leader alone is cut off and must make way. */
-  private mayPromise(term: number): boolean {
-    if (this.state !== 'following') return false;
-    const known = this.mirror.get(TERM_KEY)?.value;
-    if (isObject(known) && Number(known.term) > term) return false;
-    if (this.client.failing) return true;
-    const now = this.clock.steadyMs();
-    if (now - this.client.lastServedMs <= STATE_FAILING_MS) return false;
-    // Its watch may only have had nothing to tell: it asks, and promises if that gets no answer either.
-    if (this.probingMs === undefined) {
-      this.probingMs = now;
-      const end = (): void => {
-        this.probingMs = undefined;
-      };
-      this.mirror.sync().then(end, end);
-    }
-    return now - this.probingMs > PROBE_MS;
-  }
 }
 
 function isCancelledJob(row: Row): boolean {
