--- a/scripts/profile/report.mjs
+++ b/scripts/profile/report.mjs
@@ -10,7 +10,7 @@
   ['garbage collection', /^\(garbage collector\)/],
   ['loading the program', /cjs\/loader|launcher|target\/main\.cjs|bootstrap|node:vm|runInThisContext/],
   ['settings and schemas', /schema-validators|settings\.ts|ajv|smol-toml|fast-uri|commander/],
-  ['JSON and reports', /wire\/json|fleet\/codec|frontdoor\/codec|cloud\/codec/],
+  ['JSON and reports', /wire\/json|fleet\/codec|user-api\/codec|cloud\/codec/],
   ['frames between controllers', /msgpackr|peer-codec|peer-frames|leadership\/peers/],
   ['HTTP', /src\/http\//],
   ['sockets and streams', /node:net|stream|node:buffer|writeUtf8String|writeBuffer|node:events/],
@@ -22,7 +22,7 @@
     'passes, placing and renting',
     /placement\/|leadership\/(leader|fleet-upkeep|recovery|catalogue|job-store)|fleet\/|pipeline\/|cloud\.ts/,
   ],
-  ['front door, relay and actors', /frontdoor|relay|controller\.ts|actor\.ts|clock\.ts/],
+  ['user API, relay and actors', /user-api|relay|controller\.ts|actor\.ts|clock\.ts/],
   ['logging', /pino|sonic-boom/],
   ['native code without a name', /^\(program\)/],
 ];
--- a/src/cloud/cloud.ts
+++ b/src/cloud/cloud.ts
@@ -42,7 +42,7 @@
 
 type Message =
   | { kind: 'rent'; rental: Rental }
-  | { kind: 'giveBack'; names: string[] }
+  | { kind: 'returnMachines'; names: string[] }
   | { kind: 'tick' }
   | { kind: 'ended'; work: Work; response: HttpResponse | undefined };
 
@@ -95,7 +95,7 @@
       case 'rent':
         this.rentals.push(message.rental);
         break;
-      case 'giveBack':
+      case 'returnMachines':
         for (const name of message.names) this.returns.add(name);
         break;
       case 'tick':
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -104,12 +104,12 @@
 /** ms: least time between two writes of one group of machines; those that come up meanwhile go together. */
 export const GROUP_SPACING_MS = 200;
 /** machines: that a deputy registers in one key at most; fewer where values are small. */
-export const KEPT_BATCH = 100;
+export const REGISTRATION_BATCH = 100;
 /** rows: per page when everything is read at start. */
 export const LOAD_PAGE_ROWS = 500;
 /** bytes: of one transaction, below the service's 64 KiB to leave room for framing. */
 export const TXN_BYTES = 48 * 1024;
-/** entries: writes waiting at the writer before the frontdoor is held back. */
+/** entries: writes waiting at the writer before the user API is held back. */
 export const WRITER_QUEUE = 500;
 /** ms: how long a write of the leader may wait for the state service before it is taken up anew. */
 export const STORE_TIMEOUT_MS = 10_000;
@@ -317,25 +317,25 @@
 /** ratio of its run time that a task which outran its owner's guess is expected to need still. */
 export const OVERRUN_SHARE = 0.5;
 /** ratio of its owner's guess that a task needs at the least, when it is judged whether it can still be in time. */
-export const HOPE_SHARE = 0.7;
+export const LEAST_RUN_SHARE = 0.7;
 /** s: added to what a stop loses when the job could be in time and would not be after it. */
 export const MISS_PENALTY_S = 1_000;
 /**
  * s: a job that has waited this long for tasks to end gets machines of its own: newer jobs with earlier deadlines
  * would otherwise take that room again and again.
  */
-export const PATIENCE_S = 60;
+export const BUSY_CAPACITY_WAIT_S = 60;
 /**
  * ms: after its last deadline a job takes its turn as if it were due this much later, so that a stream of newer jobs
  * can't hold it up for ever.
  */
-export const LATE_TURN_MS = 90_000;
+export const LATE_JOB_DUE_MS = 90_000;
 /** ms: between the end of a job and the first start of one that waited for it: reports, the write, an image. */
 export const FOLLOW_MS = 4_000;
 /** ms: an undated job takes its turn as if it were due this long after it was accepted. */
-export const UNDATED_TURN_MS = 120_000;
+export const UNDATED_JOB_DUE_MS = 120_000;
 /** ms: a job of which no task runs after waiting this long counts as guaranteed: the largest must begin in time. */
-export const STARVED_MS = 100_000;
+export const STARVATION_MS = 100_000;
 /** count: spot machines lost in an hour of use, as expected before any use was seen. */
 export const SPOT_LOSSES_EXPECTED = 2;
 /** hours: of use as much as which that expectation weighs. */
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -2,7 +2,7 @@
 import type { Clock } from './clock.js';
 import { PEER_BEAT_MS, RELAY_FRESH_MS, STATE_RETRY_MS, WAITING_REPORTS_SHARE } from './constants.js';
 import { readReport, type Report } from './fleet/codec.js';
-import { Frontdoor } from './frontdoor/frontdoor.js';
+import { UserApi } from './user-api/user-api.js';
 import type { HttpCaller, HttpRequest, Respond } from './http/message.js';
 import { Deputy } from './leadership/deputy.js';
 import { Election, type Term } from './leadership/election.js';
@@ -45,7 +45,7 @@
   private readonly dependencies: Dependencies;
   private readonly client: StateClient;
   private readonly deputy: Deputy;
-  private readonly frontdoor: Frontdoor;
+  private readonly userApi: UserApi;
   private readonly memory: MemoryGuard;
   private readonly relay: Relay;
   private leader: Leader | undefined;
@@ -97,7 +97,7 @@
     });
     const { shedAbove } = shareMemory(settings.memoryBytes, settings.peers.length);
     this.memory = new MemoryGuard(clock, world.memoryUsedBytes, shedAbove, log);
-    this.frontdoor = new Frontdoor({
+    this.userApi = new UserApi({
       teams: settings.teams,
       mirror: this.mirror,
       dependencies: this.dependencies,
@@ -148,7 +148,7 @@
   }
 
   handle(request: HttpRequest, respond: Respond): void {
-    this.frontdoor.handle(request, respond);
+    this.userApi.handle(request, respond);
   }
 
   /** An error nobody caught: the leader is given up and built anew from the state service. */
--- a/src/fleet/lease.ts
+++ b/src/fleet/lease.ts
@@ -23,8 +23,8 @@
 }
 
 /**
- * What a report tells the leader. `greet`: its worker does not know our token, so it may be a copy of long ago; it is
- * shown the token and nothing is learned. `news`: the worker received an answer of this term. `nothing`: of a machine
+ * What a report tells the leader. `introduce`: its worker does not know our token, so it may be a copy of long ago; it is
+ * shown the token and nothing is learned. `current`: the worker received an answer of this term. `stale`: of a machine
  * that was deleted, or older than what the machine showed already, or of a worker that obeys a later term, which
  * would drop our answer and yet be held here by it.
  */
--- a/src/leadership/deputy.ts
+++ b/src/leadership/deputy.ts
@@ -5,7 +5,7 @@
   DEPUTY_AFTER_MS,
   DEPUTY_FRESH_MS,
   DEPUTY_TICK_MS,
-  KEPT_BATCH,
+  REGISTRATION_BATCH,
   NODE_NAME_BYTES,
 } from '../constants.js';
 import { encodeOrders, type Report } from '../fleet/codec.js';
@@ -135,7 +135,7 @@
   private register(): void {
     const leader = this.leader();
     if (this.registering || this.unregistered.length === 0) return;
-    const most = Math.min(KEPT_BATCH, Math.floor(this.deps.valueBytes / NODE_NAME_BYTES) - 1);
+    const most = Math.min(REGISTRATION_BATCH, Math.floor(this.deps.valueBytes / NODE_NAME_BYTES) - 1);
     const batch = this.unregistered.splice(0, Math.max(1, most));
     if (!leader) {
       for (const { respond } of batch) respond(NOT_ENTITLED);
--- a/src/leadership/fleet-upkeep.ts
+++ b/src/leadership/fleet-upkeep.ts
@@ -108,7 +108,7 @@
     this.deps.log.info({ node: node.name, reason }, 'returning machine');
     if (node.spot && reason !== 'idle' && node.reportedMs > -Infinity)
       this.deps.losses.lose(this.deps.nowMs());
-    this.deps.cloud.send({ kind: 'giveBack', names: [node.name] });
+    this.deps.cloud.send({ kind: 'returnMachines', names: [node.name] });
   }
 
   /** Looks at each machine: whether its lease has ended, and whether it can still be used. */
--- a/src/leadership/job-store.ts
+++ b/src/leadership/job-store.ts
@@ -57,6 +57,19 @@
     for (const job of this.jobs.values()) passUrgency(job, (name) => this.jobs.get(name));
   }
 
+  /** Running tasks per job, for display. */
+  runningCounts(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const job of this.jobs.values()) {
+      if (!job.isOpen) continue;
+      let running = 0;
+      for (const attempt of job.bound.values())
+        if (attempt.state === 'running' || attempt.state === 'saving') running++;
+      if (running > 0) counts[job.uid] = running;
+    }
+    return counts;
+  }
+
   /** Every write of a term stands under the condition that the term goes on. */
   write(conditions: Condition[], operations: Operation[]): Promise<WriteOutcome> {
     const fence = { key: LEADER_KEY, stamp: this.deps.term.stamp };
--- a/src/leadership/leader.ts
+++ b/src/leadership/leader.ts
@@ -9,9 +9,8 @@
   PASS_REST,
   PASS_SPACING_MS,
 } from '../constants.js';
-import type { ExitCause } from '../fleet/codec.js';
 import { Health } from '../fleet/health.js';
-import { Ledger, type Attempt } from '../fleet/ledger.js';
+import { Ledger } from '../fleet/ledger.js';
 import { NodeRecords, type GroupEnd } from '../fleet/node-records.js';
 import type { HttpCaller } from '../http/message.js';
 import type { Dependencies } from '../pipeline/dependencies.js';
@@ -33,6 +32,7 @@
 import { Recovery, type LeaseCheckEnd } from './recovery.js';
 import { SchedulingPass } from './scheduling-pass.js';
 import { ReportIntake, type ReceivedReport } from './report-intake.js';
+import { TaskLifecycle } from './task-lifecycle.js';
 import { WorkerCommands, type CommandCallEnd } from './worker-commands.js';
 
 /** What a leader needs of its controller. */
@@ -84,6 +84,7 @@
   private readonly upkeep: FleetUpkeep;
   private readonly limits: Map<string, TeamLimit>;
   private readonly startedMs: number;
+  private readonly tasks: TaskLifecycle;
   private readonly scheduling: SchedulingPass;
   private readonly pass: PacedTask;
   private readonly review: PacedTask;
@@ -105,8 +106,8 @@
     );
     this.limits = new Map(settings.teams.map((team) => [team.name, team]));
     this.ledger = new Ledger(settings.leaseS, (uid) => this.store.jobs.get(uid), {
-      exited: (attempt, cause) => this.onExited(attempt, cause),
-      released: (attempt) => this.onReleased(attempt),
+      exited: (attempt, cause) => this.tasks.exited(attempt, cause),
+      released: (attempt) => this.tasks.released(attempt),
     });
     this.cloud = this.createCloud();
     this.store = this.createStore();
@@ -119,7 +120,7 @@
       caller: deps.workerCaller,
       nowMs,
       log,
-      mayStart: (attempt) => this.mayStart(attempt),
+      mayStart: (attempt) => this.tasks.mayStart(attempt),
       callEnded: (end) => this.send({ kind: 'commanded', end }),
       answered: (node, report) => {
         this.reports.takeCommandAnswer(node, report);
@@ -137,6 +138,18 @@
       leaseChecked: (end) => this.send({ kind: 'leaseChecked', end }),
       changed,
     });
+    this.tasks = new TaskLifecycle({
+      commands: this.commands,
+      recovery: this.recovery,
+      dependencies: deps.dependencies,
+      knowledge: deps.knowledge,
+      isServed: deps.isServed,
+      nowMs,
+      startedMs: this.startedMs,
+      reportS: settings.reportS,
+      log,
+      changed,
+    });
     this.health = new Health({
       ledger: this.ledger,
       reportS: settings.reportS,
@@ -281,15 +294,7 @@
 
   /** Running tasks per job, for display. */
   runningCounts(): Record<string, number> {
-    const counts: Record<string, number> = {};
-    for (const job of this.store.jobs.values()) {
-      if (!job.isOpen) continue;
-      let running = 0;
-      for (const attempt of job.bound.values())
-        if (attempt.state === 'running' || attempt.state === 'saving') running++;
-      if (running > 0) counts[job.uid] = running;
-    }
-    return counts;
+    return this.store.runningCounts();
   }
 
   protected receive(message: Message): void {
@@ -337,44 +342,6 @@
     );
   }
 
-  private onExited(attempt: Attempt, cause: ExitCause): void {
-    const job = attempt.job;
-    const now = this.now();
-    const ranS = Math.round((now - attempt.startedMs) / 1000);
-    const task = `${attempt.uid}/${attempt.index}`;
-    this.log.debug({ task, node: attempt.node.name, cause, ranS }, 'task exited');
-    this.commands.forget(attempt);
-    if (attempt.node.attempts.size === 0) attempt.node.idleSinceMs = now;
-    if (!job) return;
-    if (cause === 'done' && !job.isService) {
-      job.finish(attempt.index);
-      if (attempt.startedMs > this.startedMs) job.ran(ranS);
-    } else if (cause === 'error') {
-      job.fail(attempt.node.name, now);
-      attempt.node.failedJobs.add(job.uid);
-      this.log.info({ task: `${attempt.uid}/${attempt.index}`, node: attempt.node.name }, 'task failed');
-    } else if (cause === 'no_such' || cause === 'full') {
-      job.notBeforeMs = Math.max(job.notBeforeMs, now + this.deps.settings.reportS * 1000);
-    }
-    this.pass.soon();
-  }
-
-  private onReleased(attempt: Attempt): void {
-    if (attempt.state !== 'planned')
-      this.log.info({ task: `${attempt.uid}/${attempt.index}`, node: attempt.node.name }, 'task lost');
-    this.commands.forget(attempt);
-    this.pass.soon();
-  }
-
-  private mayStart(attempt: Attempt): boolean {
-    const { job, node } = attempt;
-    if (!job || !job.isOpen || !job.released || !node.recorded || !node.current || node.returning)
-      return false;
-    if (job.isDependent && this.deps.dependencies.statusOf(job.uid) !== 'free') return false;
-    if (!this.deps.knowledge.mayStart(this.now(), this.deps.isServed())) return false;
-    return this.recovery.isComplete || !job.inherited;
-  }
-
   private onCloud(event: CloudEvent): void {
     const now = this.now();
     switch (event.kind) {
--- a/src/leadership/scheduling-pass.ts
+++ b/src/leadership/scheduling-pass.ts
@@ -1,6 +1,6 @@
 import type { Logger } from 'pino';
 import type { Clock } from '../clock.js';
-import { FLEET_REVIEW_REST, RENT_SPACING_MS, STARVED_MS } from '../constants.js';
+import { FLEET_REVIEW_REST, RENT_SPACING_MS, STARVATION_MS } from '../constants.js';
 import type { NodeRecords } from '../fleet/node-records.js';
 import { PacedTask } from '../paced-task.js';
 import type { Dependencies } from '../pipeline/dependencies.js';
@@ -49,7 +49,7 @@
     open.sort(
       byRelease(
         within,
-        (job) => now - job.starvingSinceMs > STARVED_MS,
+        (job) => now - job.starvingSinceMs > STARVATION_MS,
         (job) => due.get(job)!,
       ),
     );
--- a/src/pipeline/job.ts
+++ b/src/pipeline/job.ts
@@ -3,7 +3,7 @@
   ERROR_BACKOFF_MAX_MS,
   ERROR_BACKOFF_MS,
   FOLLOW_MS,
-  HOPE_SHARE,
+  LEAST_RUN_SHARE,
   RAN_MARGIN,
 } from '../constants.js';
 import type { Attempt } from '../fleet/ledger.js';
@@ -163,7 +163,7 @@
    * reached, or Infinity. What can't be in time any more must not hold up what can.
    */
   dueMs(wallMs: number): number {
-    const neededMs = this.pending > 0 ? this.spec.guessS * 1000 * HOPE_SHARE : 0;
+    const neededMs = this.pending > 0 ? this.spec.guessS * 1000 * LEAST_RUN_SHARE : 0;
     const own = this.pipeline.value.map((step) => this.stored.acceptedMs + step.untilS * 1000);
     const steps = this.passedOn ? mostUrgent({ rank: this.rank, dueMs: own }, this.passedOn).dueMs : own;
     return steps.find((endMs) => wallMs + neededMs <= endMs) ?? Infinity;
--- a/src/placement/order.ts
+++ b/src/placement/order.ts
@@ -1,4 +1,4 @@
-import { EPSILON, LATE_TURN_MS, UNDATED_TURN_MS } from '../constants.js';
+import { EPSILON, LATE_JOB_DUE_MS, UNDATED_JOB_DUE_MS } from '../constants.js';
 import { RANKS, type JobSpec, type Rank } from '../state/records.js';
 import type { TeamLimit } from './rules.js';
 
@@ -43,7 +43,7 @@
  */
 function turnMs(job: Waiting, dueMs: number): number {
   if (dueMs < Infinity) return dueMs;
-  return job.firstDueMs < Infinity ? job.firstDueMs + LATE_TURN_MS : job.queuedMs + UNDATED_TURN_MS;
+  return job.firstDueMs < Infinity ? job.firstDueMs + LATE_JOB_DUE_MS : job.queuedMs + UNDATED_JOB_DUE_MS;
 }
 
 /**
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -13,7 +13,7 @@
 import type { Attempt, Ledger, Node, Resources } from '../fleet/ledger.js';
 import type { Job } from '../pipeline/job.js';
 import { rankRooms, type Room } from './choose.js';
-import { addTo, rankClearings, type Clearing } from './preempt.js';
+import { addTo, rankPreemptions, type Preemption } from './preemption.js';
 import { PreemptionLook, type Claim } from './preemption-look.js';
 import { Rooms } from './rooms.js';
 import { couldHold, LackingRoom } from './lacking-room.js';
@@ -182,15 +182,15 @@
     let left = Math.min(job.pending, this.teamRoomOf(job));
     if (left <= 0) return;
     const zones = new Map(job.zones);
-    const clearings: Clearing[] = [];
+    const preemptions: Preemption[] = [];
     for (const zone of rooms.zones) {
       if (!allowsZone(job.spec, zones, zone) || claim.lacksRoomIn(zone, job.spec)) continue;
-      const found = this.clearingsIn(rooms.inZone(zone), job, claim, now);
+      const found = this.preemptionsIn(rooms.inZone(zone), job, claim, now);
       if (found.length === 0) claim.noteLacking(zone, job.spec);
-      clearings.push(...found);
+      preemptions.push(...found);
     }
-    clearings.sort((a, b) => a.loss - b.loss);
-    for (const { room, victims } of clearings) {
+    preemptions.sort((a, b) => a.loss - b.loss);
+    for (const { room, victims } of preemptions) {
       if (left-- <= 0) return;
       const { zone } = room.node;
       if (!allowsZone(job.spec, zones, zone)) continue;
@@ -204,8 +204,8 @@
     }
   }
 
-  private clearingsIn(rooms: Iterable<Room>, job: Job, claim: Claim, now: number): Clearing[] {
-    return rankClearings(
+  private preemptionsIn(rooms: Iterable<Room>, job: Job, claim: Claim, now: number): Preemption[] {
+    return rankPreemptions(
       job,
       rooms,
       (node) => this.fetchS(node, job),
--- a/src/placement/preempt.ts
+++ b/src/placement/preemption.ts
@@ -4,7 +4,7 @@
 import { allowsPlace, allowsZone, fits } from './rules.js';
 
 /** Where a waiting task gets its room, and what has to be stopped for it; nothing if it only has to wait. */
-export interface Clearing {
+export interface Preemption {
   room: Room;
   victims: Attempt[];
   loss: number;
@@ -15,14 +15,14 @@
  * first, and a second of fetching the image counts like a lost second. The rooms are what is free, less what is
  * promised to others.
  */
-export function rankClearings(
+export function rankPreemptions(
   job: Job,
   rooms: Iterable<Room>,
   fetchS: (node: Node) => number,
   mayStop: (victim: Job) => boolean,
   lossS: (victim: Attempt) => number,
-): Clearing[] {
-  const clearings: Clearing[] = [];
+): Preemption[] {
+  const preemptions: Preemption[] = [];
   for (const room of rooms) {
     const { node } = room;
     if (!allowsPlace(job.spec, node) || !allowsZone(job.spec, job.zones, node.zone)) continue;
@@ -43,9 +43,9 @@
         if (fits(job.spec, free)) break;
       }
     }
-    if (fits(job.spec, free)) clearings.push({ room, victims, loss });
+    if (fits(job.spec, free)) preemptions.push({ room, victims, loss });
   }
-  return clearings.sort((a, b) => a.loss - b.loss);
+  return preemptions.sort((a, b) => a.loss - b.loss);
 }
 
 export function addTo(total: Resources, size: Resources, sign: 1 | -1): void {
--- a/src/placement/rent.ts
+++ b/src/placement/rent.ts
@@ -1,4 +1,4 @@
-import { EPSILON, PATIENCE_S, START_EXTRA_S } from '../constants.js';
+import { EPSILON, BUSY_CAPACITY_WAIT_S, START_EXTRA_S } from '../constants.js';
 import type { MachineType, Offer } from '../cloud/codec.js';
 import type { Node, Resources } from '../fleet/ledger.js';
 import type { JobSpec } from '../state/records.js';
@@ -159,7 +159,7 @@
 
 /** Until when a running task must end for its room to serve the demand; a machine on its way always serves. */
 function latestEndS(demand: Demand): number {
-  if (demand.spec.kind === 'service' || demand.waitedS > PATIENCE_S) return -Infinity;
+  if (demand.spec.kind === 'service' || demand.waitedS > BUSY_CAPACITY_WAIT_S) return -Infinity;
   return Math.min(demand.startLeftS, demand.leftS - demand.expectedS);
 }
 
--- a/src/placement/renter.ts
+++ b/src/placement/renter.ts
@@ -6,7 +6,7 @@
 import type { Job } from '../pipeline/job.js';
 import type { Placer } from './placer.js';
 import { planRentals, type IncomingCapacity, type Demand } from './rent.js';
-import { addTo } from './preempt.js';
+import { addTo } from './preemption.js';
 import { slots } from './rules.js';
 import type { SpotLosses } from './spot-losses.js';
 import { spareRoom, type Arrival, type StartObjective } from './spare.js';
--- a/src/frontdoor/frontdoor.ts
+++ b/src/user-api/user-api.ts
@@ -43,7 +43,7 @@
   type UserPhase,
 } from './codec.js';
 
-export interface FrontdoorDeps {
+export interface UserApiDeps {
   teams: TeamLimit[];
   mirror: Mirror;
   dependencies: Pick<Dependencies, 'statusOf'>;
@@ -70,11 +70,11 @@
 const problem = (status: number, error: string): HttpResponse => reply(status, { error });
 
 /** The users' interface, and the workers' way in, on every controller. */
-export class Frontdoor {
+export class UserApi {
   private readonly teams: Map<string, TeamLimit>;
   private inProgress = 0;
 
-  constructor(private readonly deps: FrontdoorDeps) {
+  constructor(private readonly deps: UserApiDeps) {
     this.teams = new Map(deps.teams.map((team) => [team.name, team]));
   }
 
--- a/test/cloud.test.ts
+++ b/test/cloud.test.ts
@@ -33,7 +33,7 @@
   const before = asked.length;
   assert.ok(before > 0 && before < 5, `${before} calls`);
   authority = false;
-  cloud.send({ kind: 'giveBack', names: ['m-1'] });
+  cloud.send({ kind: 'returnMachines', names: ['m-1'] });
   await clock.runUntil(20_000);
   assert.equal(asked.length, before);
   authority = true;
--- a/test/codec.test.ts
+++ b/test/codec.test.ts
@@ -6,7 +6,7 @@
 import { pack, unpack } from 'msgpackr';
 import { MAX_TASKS } from '../src/constants.js';
 import { decodeReport } from '../src/fleet/codec.js';
-import { decodeSubmission } from '../src/frontdoor/codec.js';
+import { decodeSubmission } from '../src/user-api/codec.js';
 import { loadSettings, SettingsError } from '../src/settings.js';
 import { decodePeerMessage, type PeerMessage } from '../src/leadership/peer-codec.js';
 import {
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { MachineType } from '../src/cloud/codec.js';
-import { neverRuns } from '../src/frontdoor/admission.js';
+import { neverRuns } from '../src/user-api/admission.js';
 import { byRelease, withinGuarantee, type Waiting } from '../src/placement/order.js';
 import { planRentals, type Demand } from '../src/placement/rent.js';
 import { RunTimes } from '../src/pipeline/run-times.js';
--- a/test/sizing.test.ts
+++ b/test/sizing.test.ts
@@ -1,7 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { pino } from 'pino';
-import { CROWDED_SHARE, GROUP_SPACING_MS, KEPT_BATCH, LIST_PAGE, RENT_MAX } from '../src/constants.js';
+import {
+  CROWDED_SHARE,
+  GROUP_SPACING_MS,
+  REGISTRATION_BATCH,
+  LIST_PAGE,
+  RENT_MAX,
+} from '../src/constants.js';
 import { settingsWarnings } from '../src/settings-warnings.js';
 import type { Settings } from '../src/settings.js';
 import { Cloud, type CloudEvent } from '../src/cloud/cloud.js';
@@ -49,7 +55,7 @@
   for (const machines of [500, 1500, 4000, 6000]) {
     const groups = Math.ceil(machines / RENT_MAX);
     assert.ok(groups / WRITES_PER_S < 15, `${machines}: writing the records of all groups`);
-    const batches = Math.ceil(machines / KEPT_BATCH);
+    const batches = Math.ceil(machines / REGISTRATION_BATCH);
     assert.ok(batches / WRITES_PER_S < 5, `${machines}: registering the machines of deputies`);
     const pages = Math.ceil(machines / LIST_PAGE);
     assert.ok(pages / CLOUD_PER_S < 5, `${machines}: reading the list`);
