--- a/src/constants.ts
+++ b/src/constants.ts
@@ -189,6 +189,12 @@
  * up again, and a second change would hold them up once more; relays make a far leader bearable.
  */
 export const HANDOVER_TERM_MS = 20_000;
+/** controllers: of a zone that can relay before workers there are sent on by the leader; one alone would take all. */
+export const RELIEF_RELAYS = 2;
+/** ms: a term lasts at least this long before workers are sent on. */
+export const RELIEF_AFTER_MS = 20_000;
+/** ms: least time before the same worker is sent on again. */
+export const RELIEF_REPEAT_MS = 60_000;
 /** ms: for which another must have been heard of to be handed over to, and the pause of who made way. */
 export const HANDOVER_AFTER_MS = 5_000;
 /** ms: without a word of the leader before a controller keeps the leases of machines that turn to it. */
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -7,6 +7,7 @@
 import { Deputy } from './leadership/deputy.js';
 import { Election, type Term } from './leadership/election.js';
 import { Leader } from './leadership/leader.js';
+import { LeaderRelief } from './leadership/leader-relief.js';
 import { answerWithinMs, Knowledge } from './leadership/knowledge.js';
 import type { PeerChannel } from './leadership/peers.js';
 import { Relay } from './leadership/relay.js';
@@ -49,6 +50,7 @@
   private readonly memory: MemoryGuard;
   private readonly relay: Relay;
   private leader: Leader | undefined;
+  private relief: LeaderRelief | undefined;
   private counts: Record<string, number> = {};
 
   constructor(private readonly world: World) {
@@ -168,6 +170,7 @@
     }
     if (!this.election.holdsTerm(term)) return;
     const { settings, clock, log } = this.world;
+    this.relief = new LeaderRelief(clock.steadyMs());
     this.leader = new Leader({
       settings,
       term,
@@ -187,8 +190,7 @@
 
   /** Workers are taken in their own zone: there they stay when zones are cut from each other. */
   private takeReport(report: Report, body: string, respond: Respond): true | string | undefined {
-    const { zone } = this.world.settings;
-    const near = report.zone === zone ? [] : this.election.reportTargets(report.zone);
+    const near = this.betterTargets(report);
     // Another each time: the one named before may be out of the worker's reach.
     if (near.length > 0) return near[(spread(report.node) + Number(report.tick)) % near.length];
     if (this.leader) {
@@ -208,6 +210,13 @@
     return true;
   }
 
+  /** Who had better take the report: controllers of its own zone, and there rather a relay than a busy leader. */
+  private betterTargets({ zone, node }: Report): string[] {
+    const targets = this.election.reportTargets(zone);
+    if (zone !== this.world.settings.zone) return targets;
+    return this.relief?.sendsOn(node, targets.length, this.world.clock.steadyMs()) ? targets : [];
+  }
+
   private takeRelayed(member: string, id: number, body: string): void {
     const respond: Respond = (response) =>
       this.world.peers.send(member, { kind: 'relayed', id, status: response.status, body: response.body });
@@ -219,6 +228,7 @@
   private dropLeader(): void {
     this.leader?.stop();
     this.leader = undefined;
+    this.relief = undefined;
   }
 
   private shareCounts(): void {
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -1,9 +1,17 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { pino } from 'pino';
-import { RELAY_FRESH_MS, RELAY_GIVE_UP_MS, RELAY_LOOK_MS } from '../src/constants.js';
+import {
+  RELAY_FRESH_MS,
+  RELAY_GIVE_UP_MS,
+  RELAY_LOOK_MS,
+  RELIEF_AFTER_MS,
+  RELIEF_RELAYS,
+  RELIEF_REPEAT_MS,
+} from '../src/constants.js';
 import type { HttpResponse } from '../src/http/message.js';
 import type { PeerMessage } from '../src/leadership/peer-codec.js';
+import { LeaderRelief } from '../src/leadership/leader-relief.js';
 import { Relay } from '../src/leadership/relay.js';
 import { SimClock } from '../src/simulation/clock.js';
 
@@ -148,3 +156,21 @@
   answer(sent[1]!.id, 'a');
   assert.equal(answers.at(-1)!.status, 200);
 });
+
+// The leader of a large fleet served half of all workers itself, and starved while others had nothing to do.
+test('a settled leader sends workers to relays, and serves those that come back', () => {
+  const relief = new LeaderRelief(1000);
+  const settledMs = 1000 + RELIEF_AFTER_MS;
+  const steps: [what: string, node: string, relays: number, atMs: number, isSentOn: boolean][] = [
+    ['right after the change of leader', 'm1', 3, settledMs - 1, false],
+    ['too few relays', 'm1', RELIEF_RELAYS - 1, settledMs, false],
+    ['settled', 'm1', RELIEF_RELAYS, settledMs, true],
+    ['it came back', 'm1', RELIEF_RELAYS, settledMs + 2000, false],
+    ['another', 'm2', RELIEF_RELAYS, settledMs + 2000, true],
+    ['still there', 'm1', RELIEF_RELAYS, settledMs + RELIEF_REPEAT_MS, false],
+    ['still there in the next period', 'm1', RELIEF_RELAYS, settledMs + RELIEF_REPEAT_MS + 1, false],
+    ['tried again', 'm1', RELIEF_RELAYS, settledMs + 3 * RELIEF_REPEAT_MS, true],
+  ];
+  for (const [what, node, relays, atMs, isSentOn] of steps)
+    assert.equal(relief.sendsOn(node, relays, atMs), isSentOn, what);
+});
