--- a/src/constants.ts
+++ b/src/constants.ts
@@ -256,6 +256,8 @@
 export const GONE_KEEP_MS = 600_000;
 /** attempts: the low bits of an attempt's number; the high part is the leader's term. */
 export const ATTEMPTS_PER_TERM = 2 ** 22;
+/** attempts: left when a term ends for want of numbers; more than one pass starts. */
+export const ATTEMPTS_RESERVED = 2 ** 16;
 /** orders in one report answer; keeps an answer far below 64 KiB. */
 export const ORDERS_PER_ANSWER = 200;
 
--- a/src/leadership/leader.ts
+++ b/src/leadership/leader.ts
@@ -388,7 +388,7 @@
     if (this.review.isDue(now)) this.review.run((startedMs) => this.reviewFleet(startedMs));
     this.scheduling.run(now);
     this.commands.sendAll(now);
-    if (this.commands.needsNewTerm(now)) this.deps.onFailure(undefined);
+    if (this.commands.needsNewTerm(now) || this.placer.needsNewTerm) this.deps.onFailure(undefined);
     if (this.isStopped) return;
     const groupsMs = Math.max(this.records.waitMs(now), PASS_SPACING_MS);
     this.pass.atLatest(now + Math.min(PASS_EVERY_MS, groupsMs));
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -2,6 +2,7 @@
 import type { MachineType } from '../cloud/codec.js';
 import {
   ATTEMPTS_PER_TERM,
+  ATTEMPTS_RESERVED,
   MISS_PENALTY_S,
   OVERRUN_SHARE,
   PREEMPT_AFTER_MS,
@@ -72,6 +73,11 @@
     return waiting;
   }
 
+  /** Whether the attempt numbers of this term run out; those of the next one must never be reached. */
+  get needsNewTerm(): boolean {
+    return this.attemptSeq >= ATTEMPTS_PER_TERM - ATTEMPTS_RESERVED;
+  }
+
   private rooms(nodes: Iterable<Node>, now: number): Room[] {
     const rooms: Room[] = [];
     for (const node of nodes) {
--- a/src/simulation/day.ts
+++ b/src/simulation/day.ts
@@ -27,6 +27,8 @@
   scale: number;
   /** Zones that have machines. */
   machineZones?: string[];
+  /** Seconds for which a machine boots; lacking: 8. */
+  bootS?: number;
   /** Seconds between two reports of a worker; lacking: those of a small deployment. */
   reportS?: number;
   /** Rates of the outside services; lacking: those of a small deployment. */
@@ -147,7 +149,7 @@
     this.members.forEach((member) => this.network.setZone(member, settingsOf(member, options).zone));
     this.cloud = new SimCloud(
       this.clock,
-      [MACHINE],
+      [{ ...MACHINE, bootS: options.bootS ?? MACHINE.bootS }],
       options.machineZones ?? ZONES,
       options.machines,
       (place) => {
