--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { SimDay } from '../src/simulation/day.js';
+import { SimDay, SMALL } from '../src/simulation/day.js';
 import type { SimJob } from '../src/simulation/rules.js';
 
 /** Troubles that meet. Each day brings about one of the users' list; what guards against it stands in docs/design.md. */
@@ -13,6 +13,12 @@
     .slice(0, count)
     .map((host) => host.name);
 
+/** Machines whose workers hold start commands, executed or not. */
+const commandedHosts = (day: SimDay): string[] =>
+  [...day.cloud.hosts.values()]
+    .filter(({ worker }) => worker && (Reflect.get(worker, 'tasks') as Map<string, unknown>).size > 0)
+    .map(({ name }) => name);
+
 /** Work of every kind from the start on; the arrays must end. */
 function load(day: SimDay): SimJob[] {
   const mustEnd: SimJob[] = [];
@@ -398,6 +404,42 @@
   }
 }
 
+/**
+ * A machine is recorded before its first start command, or a leader that ends leaves tasks of which the next one knows
+ * nothing: it would start them again. Machines that are up at once and slow writes make that gap as wide as it gets.
+ */
+for (const seed of [1, 2, 3]) {
+  test(`machines up within two seconds get work while writes lag and the leader ends (seed ${seed})`, async () => {
+    const day = new SimDay(seed, { ...SMALL, bootS: 1.2 });
+    const mustEnd: SimJob[] = [];
+    day.at(3, () => (day.state.slowMs = () => 300 + 900 * day.random()));
+    for (const atS of [4, 36, 68, 100])
+      day.at(atS, () => {
+        for (let i = 0; i < 4; i++) mustEnd.push(day.submit({ tasks: 3, cpus: 4, runS: 15 + i }));
+      });
+    for (const atS of [8, 40, 72, 104]) {
+      // At the moment at which new machines get their first tasks these can't be reached any more.
+      let isOver = false;
+      const endLeader = (): void => {
+        const started = commandedHosts(day);
+        if (isOver || started.length === 0) return;
+        isOver = true;
+        for (const host of started) day.members.forEach((member) => day.network.cut(host, member));
+        day.crash(day.leader ?? day.members[0]!, 400);
+        day.at(day.clock.steadyMs() / 1000 + 9, () => day.network.heal());
+      };
+      for (let s = atS - 3; s < atS + 3; s += 0.05) day.at(s, endLeader);
+    }
+    day.at(120, () => (day.state.slowMs = undefined));
+    await day.clock.runUntil(240_000);
+    assert.deepEqual(day.rules.broken, []);
+    assert.deepEqual(
+      mustEnd.filter((job) => !day.isOver(job)).map((job) => job.uid),
+      [],
+    );
+  });
+}
+
 test('odd requests get what the protocol says, at once, also while another controller leads', async () => {
   const day = new SimDay(21);
   day.at(5, () => day.submit({ tasks: 2, runS: 200 }));
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -5,7 +5,10 @@
 import { byRelease, withinGuarantee, type Waiting } from '../src/placement/order.js';
 import { planRentals, type Demand } from '../src/placement/rent.js';
 import { RunTimes } from '../src/pipeline/run-times.js';
+import { ATTEMPTS_PER_TERM, ATTEMPTS_RESERVED } from '../src/constants.js';
 import { rankRooms } from '../src/placement/choose.js';
+import { LackingRoom } from '../src/placement/lacking-room.js';
+import { Placer, type PlacerDeps } from '../src/placement/placer.js';
 import { spareRoom } from '../src/placement/spare.js';
 import { SpotLosses } from '../src/placement/spot-losses.js';
 import { Ledger } from '../src/fleet/ledger.js';
@@ -323,3 +326,33 @@
   assert.equal(times.margin('batch').toFixed(3), margin.toFixed(3));
   assert.equal(times.margin('other').toFixed(3), '1.600');
 });
+
+// Attempt numbers carry the term in their high part: beyond their end they would be those of the next term.
+test('a term ends before its attempt numbers do', () => {
+  const placer = new Placer({} as PlacerDeps);
+  const cases: [attempts: number, needsNewTerm: boolean][] = [
+    [0, false],
+    [ATTEMPTS_PER_TERM - ATTEMPTS_RESERVED - 1, false],
+    [ATTEMPTS_PER_TERM - ATTEMPTS_RESERVED, true],
+  ];
+  for (const [attempts, needsNewTerm] of cases) {
+    Reflect.set(placer, 'attemptSeq', attempts);
+    assert.equal(placer.needsNewTerm, needsNewTerm, `${attempts} attempts`);
+  }
+});
+
+// Of hundreds of jobs that are alike only the first is searched a machine for.
+test('a size that found no room covers all that need as much in the same places', () => {
+  const lacking = new LackingRoom();
+  lacking.note(jobSpec({ cpus: 2, memGb: 8, spot: true }));
+  const cases: [name: string, fields: Partial<JobSpec>, covered: boolean][] = [
+    ['the same', { cpus: 2, memGb: 8, spot: true }, true],
+    ['larger', { cpus: 4, memGb: 8, spot: true }, true],
+    ['less memory', { cpus: 2, memGb: 4, spot: true }, false],
+    ['fewer CPUs', { cpus: 1, memGb: 8, spot: true }, false],
+    ['no spot machines', { cpus: 2, memGb: 8, spot: false }, false],
+    ['one zone', { cpus: 2, memGb: 8, spot: true, zone: 'a' }, false],
+    ['one type', { cpus: 2, memGb: 8, spot: true, types: ['small'] }, false],
+  ];
+  for (const [name, fields, covered] of cases) assert.equal(lacking.covers(jobSpec(fields)), covered, name);
+});
