--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -13,7 +13,7 @@
     },
   },
   {
-    files: ['src/**/*.ts', 'test/**/*.ts', 'scripts/**/*.ts'],
+    files: ['src/**/*.ts', 'packages/**/*.ts', 'test/**/*.ts', 'scripts/**/*.ts'],
     languageOptions: { parserOptions: { project: './tsconfig.json', tsconfigRootDir: import.meta.dirname } },
     rules: {
       '@typescript-eslint/no-floating-promises': [
@@ -26,7 +26,7 @@
     },
   },
   {
-    files: ['src/**/*.ts'],
+    files: ['src/**/*.ts', 'packages/*/src/**/*.ts'],
     rules: {
       '@typescript-eslint/no-misused-promises': 'error',
       '@typescript-eslint/no-unnecessary-type-assertion': 'error',
--- /dev/null
+++ b/packages/duties/src/duty-leases.ts
@@ -0,0 +1,323 @@
+import type { Logger } from 'pino';
+import { Actor, type Clock } from '@pumicehinge/runtime';
+import {
+  CANDIDACY_JITTER_MS,
+  CANDIDACY_RETRY_MS,
+  CANDIDACY_STEP_MS,
+  DUTY_LEASE_TTL_MS,
+  DUTY_RENEWAL_CALL_MS,
+  DUTY_RENEWAL_MS,
+  DUTY_TICK_MS,
+  HAND_BACK_MS,
+  HAND_TO_LEADER_MS,
+  IDLE_LEASE_MS,
+  LEADER_FIRST_MS,
+  RESIGNATION_PAUSE_MS,
+} from './constants.js';
+import { LeaseAuthority, type Renewal } from './lease-authority.js';
+import type { Condition, DutyStore, LeaderView, Revision } from './ports.js';
+import {
+  decodeHolder,
+  DUTIES,
+  encodeHolder,
+  encodeToken,
+  holderKey,
+  nextToken,
+  tokenKey,
+  type Duty,
+} from './records.js';
+
+/** That this process holds a duty, as far as its copy of the state service says. */
+export interface DutyGrant {
+  readonly duty: Duty;
+  readonly token: number;
+  /** Condition of every write of its holder: fails once another one holds the duty. */
+  readonly fence: Condition;
+}
+
+export interface DutyLeasesDeps {
+  member: string;
+  store: DutyStore;
+  leader: () => LeaderView | undefined;
+  clock: Clock;
+  random: () => number;
+  log: Logger;
+}
+
+/** One lease of the state service, on which all duties of this process hang. */
+interface Session {
+  readonly name: string;
+  readonly lease: Revision;
+  readonly authority: LeaseAuthority;
+  renewalDueMs: number;
+  renewing: boolean;
+  /** Since when no duty hangs on it. */
+  idleSinceMs: number;
+}
+
+/** A duty that nobody holds. */
+interface FreeDuty {
+  readonly candidacyMs: number;
+  readonly sinceMs: number;
+}
+
+/** Duties that the leader itself had better hold. */
+const BEST_WITH_LEADER: readonly Duty[] = ['rent'];
+
+type Message =
+  | { kind: 'tick' }
+  | { kind: 'granted'; renewal: Renewal; authority: LeaseAuthority; lease: Revision | undefined }
+  /** `alive` undefined: not known. */
+  | { kind: 'renewed'; session: Session; renewal: Renewal; alive: boolean | undefined }
+  | { kind: 'candidacyEnded' }
+  | { kind: 'resign'; duty: Duty; reason: string };
+
+/**
+ * Takes and keeps duties for one process. Whoever finds a duty's key gone writes it again, attached to its lease, and
+ * raises the token, in one conditional transaction. This process holds a duty exactly while the key names its session: so
+ * an answer that was lost, or a transaction that was applied late, needs no care of its own.
+ */
+export class DutyLeases extends Actor<Message> {
+  private session: Session | undefined;
+  private granting = false;
+  private candidacy = false;
+  private nextCandidacyMs = -Infinity;
+  private readonly free = new Map<Duty, FreeDuty>();
+  private readonly resignedUntilMs = new Map<Duty, number>();
+  /** Since when this process was seen to hold each of its duties. */
+  private readonly heldSinceMs = new Map<Duty, number>();
+  /** The leader last seen, and since when. */
+  private seenLeader: { stamp: Revision; sinceMs: number } | undefined;
+  private cancelTick: () => void = () => undefined;
+
+  constructor(private readonly deps: DutyLeasesDeps) {
+    super(deps.log);
+  }
+
+  start(): void {
+    this.send({ kind: 'tick' });
+  }
+
+  override stop(): void {
+    super.stop();
+    this.cancelTick();
+  }
+
+  /** The duty if this process holds it, as far as the copy of the state service says: writes under its fence are safe. */
+  grantOf(duty: Duty): DutyGrant | undefined {
+    if (!this.session) return undefined;
+    const key = holderKey(duty);
+    const row = this.deps.store.get(key);
+    const holder = decodeHolder(row?.value);
+    if (!row || holder?.session !== this.session.name) return undefined;
+    return { duty, token: holder.token, fence: { key, stamp: row.stamp } };
+  }
+
+  /** Whether the lease surely lives: asked right before a call that no fence guards. */
+  mayAct(): boolean {
+    return this.session?.authority.holds(this.now()) ?? false;
+  }
+
+  /** The holder gives the duty up, and leaves it to the others for a while. */
+  resign(duty: Duty, reason: string): void {
+    this.send({ kind: 'resign', duty, reason });
+  }
+
+  protected receive(message: Message): void {
+    switch (message.kind) {
+      case 'tick':
+        this.cancelTick = this.deps.clock.after(DUTY_TICK_MS, () => this.send({ kind: 'tick' }));
+        return this.look();
+      case 'granted':
+        return this.onGranted(message);
+      case 'renewed':
+        return this.onRenewed(message);
+      case 'candidacyEnded':
+        this.candidacy = false;
+        return;
+      case 'resign':
+        return this.giveUp(message.duty, message.reason);
+    }
+  }
+
+  private now(): number {
+    return this.deps.clock.steadyMs();
+  }
+
+  private look(): void {
+    const now = this.now();
+    // Also looks at the clock, so that one that goes back is noticed.
+    this.session?.authority.holds(now);
+    this.renewIfDue(now);
+    if (!this.deps.store.isReady()) return;
+    for (const duty of DUTIES) this.watch(duty, now);
+    this.maybeBecomeCandidate(now);
+    this.handToLeader(now);
+    this.endIdleLease(now);
+  }
+
+  private heldCount(): number {
+    return DUTIES.filter((duty) => this.grantOf(duty)).length;
+  }
+
+  /** Notes whether a duty is free, and frees one that a former process of this controller holds. */
+  private watch(duty: Duty, now: number): void {
+    const row = this.deps.store.get(holderKey(duty));
+    if (!row) {
+      this.heldSinceMs.delete(duty);
+      const jitterMs = this.deps.random() * CANDIDACY_JITTER_MS;
+      if (!this.free.has(duty)) this.free.set(duty, { sinceMs: now, candidacyMs: jitterMs });
+      return;
+    }
+    this.free.delete(duty);
+    this.noteHeld(duty, now);
+    const holder = decodeHolder(row.value);
+    if (holder?.member !== this.deps.member || holder.session === this.session?.name) return;
+    if (now < this.nextCandidacyMs) return;
+    // That process, or that lease, is over for us: nobody has to wait until it runs out.
+    this.nextCandidacyMs = now + CANDIDACY_RETRY_MS;
+    void this.deps.store.commit([{ key: row.key, stamp: row.stamp }], [{ key: row.key, value: undefined }]);
+  }
+
+  private noteHeld(duty: Duty, now: number): void {
+    if (!this.grantOf(duty)) this.heldSinceMs.delete(duty);
+    else if (!this.heldSinceMs.has(duty)) this.heldSinceMs.set(duty, now);
+  }
+
+  private maybeBecomeCandidate(now: number): void {
+    if (this.candidacy || this.granting || now < this.nextCandidacyMs) return;
+    // Beside a former version, which does everything itself, nobody is needed.
+    if (this.deps.leader()?.delegates === false) return;
+    const duty = this.dueCandidacy(now);
+    if (duty === undefined) return;
+    if (!this.session) this.requestLease();
+    else if (this.session.authority.holds(now)) void this.campaign(duty, this.session);
+  }
+
+  private dueCandidacy(now: number): Duty | undefined {
+    const due = [...this.free].filter(
+      ([duty, { sinceMs, candidacyMs }]) =>
+        now - sinceMs >= this.delayMs(duty) + candidacyMs &&
+        now >= (this.resignedUntilMs.get(duty) ?? -Infinity),
+    );
+    return due[Math.floor(this.deps.random() * due.length)]?.[0];
+  }
+
+  /** Who holds fewer duties comes first, so that no process holds all of them while others could. */
+  private delayMs(duty: Duty): number {
+    const leader = this.deps.leader();
+    if (leader && BEST_WITH_LEADER.includes(duty))
+      return leader.member === this.deps.member ? 0 : LEADER_FIRST_MS + this.heldCount() * CANDIDACY_STEP_MS;
+    return this.heldCount() * CANDIDACY_STEP_MS;
+  }
+
+  /** Work waits for what the leader orders: without the way to another process and back it is done sooner. */
+  private handToLeader(now: number): void {
+    const leader = this.deps.leader();
+    if (!leader) return;
+    if (this.seenLeader?.stamp !== leader.fence.stamp)
+      this.seenLeader = { stamp: leader.fence.stamp, sinceMs: now };
+    if (leader.member === this.deps.member || !leader.delegates) return;
+    if (now - this.seenLeader.sinceMs < HAND_TO_LEADER_MS) return;
+    for (const duty of BEST_WITH_LEADER)
+      if (this.isLeadersTurn(duty, now)) this.giveUp(duty, 'handing it to the leader');
+  }
+
+  /** A leader that was there already when we took the duty could not hold it then. */
+  private isLeadersTurn(duty: Duty, now: number): boolean {
+    const sinceMs = this.heldSinceMs.get(duty) ?? now;
+    return this.seenLeader!.sinceMs > sinceMs || now - sinceMs > HAND_BACK_MS;
+  }
+
+  private requestLease(): void {
+    this.granting = true;
+    const authority = new LeaseAuthority();
+    const renewal = authority.begin(this.now());
+    this.deps.store.grantLease(DUTY_LEASE_TTL_MS).then(
+      (lease) => this.send({ kind: 'granted', renewal, authority, lease }),
+      () => this.send({ kind: 'granted', renewal, authority, lease: undefined }),
+    );
+  }
+
+  private onGranted({ renewal, authority, lease }: Extract<Message, { kind: 'granted' }>): void {
+    this.granting = false;
+    const now = this.now();
+    if (lease === undefined) {
+      this.nextCandidacyMs = now + CANDIDACY_RETRY_MS;
+      return;
+    }
+    authority.renewed(renewal, DUTY_LEASE_TTL_MS, now);
+    const name = `${this.deps.member}/${lease}/${Math.floor(this.deps.random() * 2 ** 32).toString(36)}`;
+    this.session = {
+      name,
+      lease,
+      authority,
+      renewalDueMs: renewal.askedMs + DUTY_RENEWAL_MS,
+      renewing: false,
+      idleSinceMs: now,
+    };
+    this.maybeBecomeCandidate(now);
+  }
+
+  private async campaign(duty: Duty, session: Session): Promise<void> {
+    this.candidacy = true;
+    this.nextCandidacyMs = this.now() + CANDIDACY_RETRY_MS;
+    const tokenRow = this.deps.store.get(tokenKey(duty));
+    const token = nextToken(tokenRow);
+    const key = holderKey(duty);
+    const outcome = await this.deps.store.commit(
+      [
+        { key, stamp: 0 },
+        { key: tokenKey(duty), stamp: tokenRow?.stamp ?? 0 },
+      ],
+      [
+        {
+          key,
+          value: encodeHolder({ member: this.deps.member, session: session.name, token }),
+          hold: session.lease,
+        },
+        { key: tokenKey(duty), value: encodeToken(token) },
+      ],
+    );
+    if (outcome === 'applied') this.log.info({ duty, token }, 'holding a duty');
+    this.send({ kind: 'candidacyEnded' });
+  }
+
+  private renewIfDue(now: number): void {
+    const { session } = this;
+    if (!session || session.renewing || now < session.renewalDueMs) return;
+    session.renewing = true;
+    session.renewalDueMs = now + DUTY_RENEWAL_MS;
+    const renewal = session.authority.begin(now);
+    this.deps.store.renewLease(session.lease, DUTY_RENEWAL_CALL_MS).then(
+      (alive) => this.send({ kind: 'renewed', session, renewal, alive }),
+      () => this.send({ kind: 'renewed', session, renewal, alive: undefined }),
+    );
+  }
+
+  private onRenewed({ session, renewal, alive }: Extract<Message, { kind: 'renewed' }>): void {
+    session.renewing = false;
+    if (session !== this.session) return;
+    if (alive) session.authority.renewed(renewal, DUTY_LEASE_TTL_MS, this.now());
+    if (alive !== false) return;
+    this.session = undefined;
+    this.log.info({ session: session.name }, 'the lease of the duties has ended');
+  }
+
+  private endIdleLease(now: number): void {
+    const { session } = this;
+    if (!session) return;
+    if (this.heldCount() > 0 || this.candidacy) session.idleSinceMs = now;
+    if (now - session.idleSinceMs < IDLE_LEASE_MS) return;
+    this.session = undefined;
+    void this.deps.store.endLease(session.lease).catch(() => undefined);
+  }
+
+  private giveUp(duty: Duty, reason: string): void {
+    const grant = this.grantOf(duty);
+    if (!grant) return;
+    this.resignedUntilMs.set(duty, this.now() + RESIGNATION_PAUSE_MS);
+    this.log.info({ duty, token: grant.token, reason }, 'resigning a duty');
+    void this.deps.store.commit([grant.fence], [{ key: grant.fence.key, value: undefined }]);
+  }
+}
--- /dev/null
+++ b/packages/duties/test/hard-cases.test.ts
@@ -0,0 +1,343 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { DUTIES, orderKey, tokenKey, type Duty, type OrderState } from '@pumicehinge/duties';
+import { ModelCluster } from './cluster.js';
+import { judge, unfinished } from './history.js';
+import { PROMPT, type CloudArrival, type Fates } from './world.js';
+
+const THREE = ['c0', 'c1', 'c2'];
+const FIVE = ['c0', 'c1', 'c2', 'c3', 'c4'];
+/** Longer than the lease of the duties. */
+const LONG_MS = 6_000;
+
+/** A cluster in which c0 leads, wants machines, and every duty has its holder. */
+async function settled(members: string[], fates: Fates = PROMPT): Promise<ModelCluster> {
+  let state = 1;
+  const random = (): number => (state = (state * 48_271) % 2_147_483_647) / 2_147_483_647;
+  const cluster = new ModelCluster(members, random, fates);
+  cluster.wanted = 0;
+  cluster.clock.after(100, () => void cluster.elect('c0'));
+  await cluster.clock.runUntil(5_000);
+  assert.ok(!cluster.holders().includes(undefined), 'a duty has no holder');
+  return cluster;
+}
+
+async function pass(cluster: ModelCluster, ms: number): Promise<void> {
+  await cluster.clock.runUntil(cluster.clock.steadyMs() + ms);
+}
+
+const holderOf = (cluster: ModelCluster, duty: Duty): string => {
+  const holder = cluster.service.holderOf(duty);
+  assert.ok(holder, `nobody holds ${duty}`);
+  return holder;
+};
+
+/** Lets time pass until an order of the duty has come to this state. */
+async function until(cluster: ModelCluster, duty: Duty, state: OrderState): Promise<void> {
+  for (let i = 0; i < 20_000; i++) {
+    if (cluster.service.orders().some((order) => order.duty === duty && order.state === state)) return;
+    await pass(cluster, 1);
+  }
+  assert.fail(`no order of ${duty} became ${state}`);
+}
+
+const from = (cluster: ModelCluster, member: string): CloudArrival[] =>
+  cluster.cloud.arrivals.filter(({ sender }) => sender === member);
+
+interface HardCase {
+  name: string;
+  members?: string[];
+  play: (cluster: ModelCluster) => Promise<void>;
+}
+
+const CASES: HardCase[] = [
+  {
+    name: 'a holder paused between intent and send does not call once its lease has run out',
+    play: async (cluster) => {
+      const holder = holderOf(cluster, 'rent');
+      cluster.wanted = 3;
+      await until(cluster, 'rent', 'intended');
+      cluster.pause(holder, LONG_MS);
+      await pass(cluster, LONG_MS + 500);
+      assert.deepEqual(from(cluster, holder), []);
+      assert.notEqual(holderOf(cluster, 'rent'), holder);
+    },
+  },
+  {
+    name: 'a call held back between check and send, until another has carried the order out, changes nothing',
+    play: async (cluster) => {
+      const holder = holderOf(cluster, 'rent');
+      cluster.wanted = 2;
+      await until(cluster, 'rent', 'intended');
+      cluster.fates = () => ({ thereMs: LONG_MS + 4_000, backMs: 1, answerLost: false });
+      await pass(cluster, 30);
+      cluster.pause(holder, LONG_MS + 3_000);
+      cluster.fates = PROMPT;
+      await pass(cluster, LONG_MS + 8_000);
+      const late = from(cluster, holder).filter((arrival) => arrival.holder !== holder);
+      assert.ok(late.length > 0, 'no late call');
+      assert.deepEqual(
+        late.flatMap(({ changed }) => changed),
+        [],
+      );
+      assert.equal(cluster.cloud.machines.size, 2);
+    },
+  },
+  {
+    name: 'a holder paused between send and answer writes nothing when it goes on',
+    play: async (cluster) => {
+      const holder = holderOf(cluster, 'rent');
+      cluster.wanted = 2;
+      while (cluster.cloud.arrivals.length === 0) await pass(cluster, 1);
+      cluster.pause(holder, LONG_MS);
+      await pass(cluster, LONG_MS + 2_000);
+      const ends = cluster.service.orderWrites.filter(({ order }) => order.state === 'done');
+      assert.ok(ends.length > 0 && ends.every(({ by }) => by !== holder));
+    },
+  },
+  {
+    name: 'an answer that is lost is adopted by who asks again',
+    play: async (cluster) => {
+      cluster.wanted = 2;
+      await until(cluster, 'rent', 'intended');
+      cluster.fates = () => ({ thereMs: 1, backMs: 1, answerLost: true });
+      await pass(cluster, 20);
+      cluster.crash(holderOf(cluster, 'rent'), 2_000);
+      cluster.fates = PROMPT;
+      await pass(cluster, 10_000);
+      assert.equal(cluster.cloud.machines.size, 2);
+      assert.ok(cluster.cloud.arrivals.length > 1);
+    },
+  },
+  {
+    name: 'a holder that is cut off from the cloud leaves its duty to another',
+    play: async (cluster) => {
+      const holder = holderOf(cluster, 'rent');
+      cluster.cloud.cut.add(holder);
+      cluster.wanted = 2;
+      await pass(cluster, 20_000);
+      assert.equal(cluster.cloud.machines.size, 2);
+    },
+  },
+  {
+    name: 'a holder that is cut off from the state service stops calling the cloud with its lease',
+    play: async (cluster) => {
+      const holder = holderOf(cluster, 'rent');
+      cluster.wanted = 2;
+      await until(cluster, 'rent', 'intended');
+      cluster.service.refused.add(holder);
+      cluster.cloud.cut.add(holder);
+      await pass(cluster, 3_900);
+      cluster.cloud.cut.delete(holder);
+      await pass(cluster, 6_000);
+      assert.deepEqual(from(cluster, holder), []);
+      cluster.service.refused.clear();
+      await pass(cluster, 6_000);
+    },
+  },
+  {
+    name: 'two holders replaced within one lease',
+    play: async (cluster) => {
+      cluster.wanted = 2;
+      await until(cluster, 'rent', 'intended');
+      const first = holderOf(cluster, 'rent');
+      cluster.dutiesOf(first).resign('rent', 'test');
+      for (let i = 0; cluster.service.holderOf('rent') === first || !cluster.service.holderOf('rent'); i++) {
+        assert.ok(i < 2_000, 'nobody followed');
+        await pass(cluster, 1);
+      }
+      cluster.dutiesOf(holderOf(cluster, 'rent')).resign('rent', 'test');
+      await pass(cluster, 3_500);
+    },
+  },
+  {
+    name: 'the leader and a holder die together: the next leader does not use what is being given back',
+    play: async (cluster) => {
+      cluster.wanted = 4;
+      await pass(cluster, 5_000);
+      cluster.wanted = 2;
+      await until(cluster, 'return', 'intended');
+      cluster.crash('c0', 3_000);
+      const holder = holderOf(cluster, 'return');
+      if (holder !== 'c0') cluster.crash(holder, 3_000);
+      await pass(cluster, 1_000);
+      void cluster.elect(THREE.find((member) => member !== 'c0' && member !== holder)!);
+      await pass(cluster, 12_000);
+    },
+  },
+  {
+    name: 'what a leader ordered and nobody began is void with its term, and cleaned up',
+    play: async (cluster) => {
+      for (const member of THREE) cluster.cloud.cut.add(member);
+      // Nobody holds the duty: the order stays as it is.
+      for (const duty of DUTIES) for (const member of THREE) cluster.dutiesOf(member).resign(duty, 'test');
+      cluster.wanted = 2;
+      await until(cluster, 'rent', 'ordered');
+      const [order] = cluster.service.orders();
+      cluster.wanted = 0;
+      void cluster.elect('c1');
+      for (const member of THREE) cluster.cloud.cut.delete(member);
+      await pass(cluster, 30_000);
+      assert.deepEqual(cluster.cloud.arrivals, []);
+      assert.equal(cluster.service.order(orderKey(order!.id)), undefined);
+    },
+  },
+  {
+    name: 'an intent on its way as the term ends is not recorded any more',
+    play: async (cluster) => {
+      cluster.wanted = 6;
+      await pass(cluster, 6_000);
+      cluster.wanted = 1;
+      await until(cluster, 'reclaim', 'ordered');
+      // All that is sent from now on arrives once another leads, and has read what stands there.
+      cluster.fates = () => ({ thereMs: 1_400, backMs: 1, answerLost: false });
+      await pass(cluster, 10);
+      cluster.fates = PROMPT;
+      cluster.wanted = 6;
+      void cluster.elect('c2');
+      await pass(cluster, 10_000);
+    },
+  },
+  {
+    name: 'an outage of the state service across a handover',
+    play: async (cluster) => {
+      const holder = holderOf(cluster, 'rent');
+      cluster.wanted = 3;
+      await until(cluster, 'rent', 'intended');
+      cluster.service.refused.add('*');
+      cluster.crash(holder, 20_000);
+      await pass(cluster, 8_000);
+      cluster.service.endOutage();
+      await pass(cluster, 12_000);
+      if (holder === 'c0') await restoreLeader(cluster);
+    },
+  },
+  {
+    name: 'all controllers restart while orders are being carried out',
+    play: async (cluster) => {
+      cluster.wanted = 3;
+      await until(cluster, 'rent', 'intended');
+      for (const member of THREE) cluster.crash(member, 300);
+      await pass(cluster, 2_000);
+      await restoreLeader(cluster);
+    },
+  },
+  {
+    name: 'three of five end within a second',
+    members: FIVE,
+    play: async (cluster) => {
+      cluster.wanted = 3;
+      await until(cluster, 'rent', 'intended');
+      ['c1', 'c2', 'c3'].forEach((member, i) =>
+        cluster.clock.after(i * 300, () => cluster.crash(member, 9_000)),
+      );
+      await pass(cluster, 8_000);
+      assert.equal(cluster.cloud.machines.size, 3);
+    },
+  },
+  {
+    name: 'the cloud carries calls out minutes late',
+    play: async (cluster) => {
+      cluster.wanted = 2;
+      await until(cluster, 'rent', 'intended');
+      cluster.fates = () => ({ thereMs: 150_000, backMs: 1, answerLost: false });
+      await pass(cluster, 15);
+      cluster.fates = PROMPT;
+      await pass(cluster, 20_000);
+      cluster.wanted = 0;
+      await pass(cluster, 200_000);
+      assert.equal(cluster.cloud.machines.size, 0);
+    },
+  },
+  {
+    name: 'beside a leader of a former version holders do nothing, and go on after it',
+    play: async (cluster) => {
+      cluster.wanted = 2;
+      await until(cluster, 'rent', 'intended');
+      void cluster.elect('c1', false);
+      await pass(cluster, 100);
+      const before = cluster.cloud.arrivals.length;
+      await pass(cluster, 10_000);
+      assert.equal(cluster.cloud.arrivals.length, before);
+      void cluster.elect('c2');
+      await pass(cluster, 10_000);
+      assert.equal(cluster.cloud.machines.size, 2);
+    },
+  },
+  {
+    name: 'records that can not be read block only themselves, and are left alone',
+    play: async (cluster) => {
+      const odd: [key: string, value: unknown][] = [
+        ['ph/duty-order/1-900', { v: 2, d: 'rent', s: 'intended', t: 1, q: 900, h: 1 }],
+        [
+          'ph/duty-order/1-901',
+          { v: 1, d: 'rent', s: 'intended', t: 1, q: 901, h: 1, r: 'x', o: 'east', n: 2 },
+        ],
+        ['ph/duty-order/1-902', 'rubbish'],
+        ['ph/duty-order/odd', { v: 1, d: 'return', s: 'intended', t: 1, q: 903, h: 1, m: ['vm-1'] }],
+      ];
+      for (const [key, value] of odd) cluster.service.commit('test', [], [{ key, value }]);
+      cluster.wanted = 3;
+      await pass(cluster, 60_000);
+      assert.equal(cluster.cloud.machines.size, 3);
+      for (const [key] of odd) assert.ok(cluster.service.rows.has(key), `${key} is gone`);
+    },
+  },
+  {
+    name: 'a token that can not be read is passed by a higher one',
+    play: async (cluster) => {
+      const before = Number(cluster.service.rows.get(tokenKey('rent'))!.stamp);
+      cluster.service.commit('test', [], [{ key: tokenKey('rent'), value: { token: 'many' } }]);
+      cluster.service.tokens.length = 0;
+      cluster.dutiesOf(holderOf(cluster, 'rent')).resign('rent', 'test');
+      await pass(cluster, 5_000);
+      const { token } = cluster.service.rows.get(tokenKey('rent'))!.value as { token: number };
+      assert.ok(token > before);
+    },
+  },
+  ...[-60_000, -3_000, 3_000, 3_600_000].map((jumpMs): HardCase => ({
+    name: `the steady clock of a holder jumps by ${jumpMs / 1000} s while it is cut off`,
+    play: async (cluster) => {
+      const holder = holderOf(cluster, 'rent');
+      cluster.wanted = 2;
+      await until(cluster, 'rent', 'intended');
+      cluster.cloud.cut.add(holder);
+      cluster.service.refused.add(holder);
+      cluster.processOf(holder).clockErrorMs += jumpMs;
+      await pass(cluster, 4_500);
+      cluster.cloud.cut.delete(holder);
+      await pass(cluster, 4_000);
+      assert.deepEqual(from(cluster, holder), []);
+      cluster.service.refused.clear();
+      await pass(cluster, 4_000);
+    },
+  })),
+];
+
+async function restoreLeader(cluster: ModelCluster): Promise<void> {
+  void cluster.elect('c1');
+  await pass(cluster, 12_000);
+}
+
+for (const { name, members, play } of CASES)
+  test(name, async () => {
+    const cluster = await settled(members ?? THREE);
+    await play(cluster);
+    await pass(cluster, 12_000);
+    assert.deepEqual(judge(cluster).violations, []);
+    assert.deepEqual(unfinished(cluster), []);
+  });
+
+test('duties spread over the controllers, and one alone holds all of them', async () => {
+  const five = await settled(FIVE);
+  assert.equal(new Set(five.holders()).size, DUTIES.length);
+  const one = await settled(['c0']);
+  assert.deepEqual(new Set(one.holders()), new Set(['c0']));
+});
+
+test('a duty is never taken from a holder that is well', async () => {
+  const cluster = await settled(THREE);
+  const { length } = cluster.service.tokens;
+  await pass(cluster, 120_000);
+  assert.equal(cluster.service.tokens.length, length);
+});
--- /dev/null
+++ b/packages/runtime/src/index.ts
@@ -0,0 +1,3 @@
+/** What every part of a controller builds on: actors with a mailbox, clocks that are passed in, and rate budgets. */
+export { Actor } from './actor.js';
+export { RateBudget, sleep, systemClock, type Clock } from './clock.js';
--- a/src/simulation/clock.ts
+++ b/packages/runtime/src/simulated-clock.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../clock.js';
+import type { Clock } from './clock.js';
 
 interface Timer {
   atMs: number;
--- a/src/cloud/cloud.ts
+++ b/src/cloud/cloud.ts
@@ -1,10 +1,11 @@
 import type { Logger } from 'pino';
-import { Actor } from '../actor.js';
-import { RateBudget, type Clock } from '../clock.js';
+import { Actor, RateBudget, type Clock } from '@pumicehinge/runtime';
 import {
   CATALOG_EVERY_MS,
   CLOUD_CALL_MS,
   CLOUD_RATE_USED,
+  DELEGATED_CLOUD_SHARES,
+  DELEGATED_LIST_SHARE,
   LIST_EVERY_MS,
   LIST_RATE_SHARE,
   LIST_PAGE,
@@ -32,6 +33,22 @@
   count: number;
 }
 
+/** What a leader may use of the cloud's request rate. */
+export interface CloudRates {
+  /** Requests a second. */
+  rps: number;
+  /** Share of them for reading the machine list. */
+  listShare: number;
+}
+
+/** The leader's part of the cloud's rate: all that is used, or what the holders of duties leave to it. */
+export function leaderRates(rps: number, delegates: boolean): CloudRates {
+  const usable = rps * CLOUD_RATE_USED;
+  return delegates
+    ? { rps: usable * DELEGATED_CLOUD_SHARES.look, listShare: DELEGATED_LIST_SHARE }
+    : { rps: usable, listShare: LIST_RATE_SHARE };
+}
+
 export type CloudEvent =
   | { kind: 'catalog'; types: MachineType[] }
   | { kind: 'listed'; nodes: ListedNode[]; askedMs: number }
@@ -73,7 +90,7 @@
   constructor(
     private readonly caller: HttpCaller,
     private readonly address: string,
-    private readonly rps: number,
+    private readonly rates: CloudRates,
     private readonly clock: Clock,
     private readonly events: (event: CloudEvent) => void,
     /** Asked right before each call: after a pause another may lead, and what was decided before it is void. */
@@ -82,7 +99,7 @@
     onFailure: (error: unknown) => void,
   ) {
     super(log, onFailure);
-    this.budget = new RateBudget(clock, rps * CLOUD_RATE_USED);
+    this.budget = new RateBudget(clock, rates.rps);
   }
 
   override stop(): void {
@@ -201,7 +218,7 @@
       return;
     }
     // The list of a large fleet takes many requests, and most of the rate is for renting and returning.
-    const neededMs = (work.pages * 1000) / (this.rps * CLOUD_RATE_USED * LIST_RATE_SHARE);
+    const neededMs = (work.pages * 1000) / (this.rates.rps * this.rates.listShare);
     this.listDueMs = Math.max(this.listDueMs, work.askedMs + neededMs);
     this.events({ kind: 'listed', nodes, askedMs: work.askedMs });
   }
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -272,6 +272,13 @@
 // --- cloud -----------------------------------------------------------------------------------------
 /** share of the cloud's request rate that the leader uses. */
 export const CLOUD_RATE_USED = 0.8;
+/**
+ * shares of the above, where holders of duties call the cloud instead of the leader: the parts of the leader's lists and of
+ * each duty. They add up to 1; renting is what work waits for.
+ */
+export const DELEGATED_CLOUD_SHARES = { look: 0.3, rent: 0.45, return: 0.125, reclaim: 0.125 };
+/** share of the leader's part of the above for reading the list: all but the catalogue. */
+export const DELEGATED_LIST_SHARE = 0.8;
 /** ms: a call to the cloud. */
 export const CLOUD_CALL_MS = 5_000;
 /** ms: between two readings of the machine list. */
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -1,6 +1,18 @@
 import type { Logger } from 'pino';
-import type { Clock } from './clock.js';
-import { PEER_BEAT_MS, RELAY_FRESH_MS, STATE_RETRY_MS, WAITING_REPORTS_SHARE } from './constants.js';
+import { Duties } from '@pumicehinge/duties';
+import type { Clock } from '@pumicehinge/runtime';
+import {
+  CLOUD_RATE_USED,
+  DELEGATED_CLOUD_SHARES,
+  PEER_BEAT_MS,
+  RELAY_FRESH_MS,
+  STATE_RETRY_MS,
+  WAITING_REPORTS_SHARE,
+} from './constants.js';
+import { CloudCalls } from './duties/cloud-actions.js';
+import { ControllerDutyStore } from './duties/duty-store.js';
+import { leaderView } from './duties/leader-view.js';
+import { removableRows } from './duties/removable-rows.js';
 import { readReport, type Report } from './fleet/codec.js';
 import { UserApi } from './user-api/user-api.js';
 import type { HttpCaller, HttpRequest, Respond } from './http/message.js';
@@ -49,6 +61,7 @@
   private readonly userApi: UserApi;
   private readonly memory: MemoryGuard;
   private readonly relay: Relay;
+  private readonly duties: Duties | undefined;
   private leader: Leader | undefined;
   private relief: LeaderRelief | undefined;
   private counts: Record<string, number> = {};
@@ -74,7 +87,7 @@
     this.mirror.onRead((askedMs) => this.knowledge.learned(askedMs));
     this.writer = new Writer(client, this.mirror, clock, log);
     this.election = new Election(
-      { member: settings.member, zone: settings.zone },
+      { member: settings.member, zone: settings.zone, delegates: settings.operator.duties.enabled },
       settings.peers,
       client,
       this.mirror,
@@ -87,6 +100,7 @@
       world.bornMs,
       log,
     );
+    if (settings.operator.duties.enabled) this.duties = this.createDuties();
     this.deputy = new Deputy({
       member: settings.member,
       valueBytes: settings.state.valueBytes,
@@ -146,6 +160,7 @@
     this.election.start();
     this.deputy.start();
     this.memory.start();
+    this.duties?.start();
     this.shareCounts();
   }
 
@@ -158,6 +173,23 @@
     this.election.resign();
   }
 
+  private createDuties(): Duties {
+    const { settings, clock, random, log, caller } = this.world;
+    const { mirror, writer, client } = this;
+    const usableRps = settings.cloud.rps * CLOUD_RATE_USED;
+    const { rent, return: returning, reclaim } = DELEGATED_CLOUD_SHARES;
+    return new Duties({
+      member: settings.member,
+      store: new ControllerDutyStore(mirror, writer, client),
+      cloud: new CloudCalls(caller, settings.cloudAddress),
+      leader: () => leaderView(mirror),
+      removable: (most) => removableRows(mirror, most),
+      txnOps: settings.state.txnOps,
+      cloudRps: { rent: usableRps * rent, return: usableRps * returning, reclaim: usableRps * reclaim },
+      ...{ clock, random, log },
+    });
+  }
+
   private async lead(term: Term): Promise<void> {
     // Everything that earlier terms wrote must be seen before anything is decided.
     for (;;) {
@@ -183,6 +215,7 @@
       workerCaller: this.world.workerCaller,
       clock,
       log,
+      duties: this.duties,
       onFailure: () => this.election.resign(),
       zoneSilent: (zone) => this.election.zoneSilent(zone),
     });
--- a/src/fleet/ledger.ts
+++ b/src/fleet/ledger.ts
@@ -95,6 +95,8 @@
   readonly withRoom = new Set<Node>();
   /** Zones with machines, and how many. */
   readonly machinesPerZone = new Map<string, number>();
+  /** Machines that an earlier term has irrevocably begun to give back: nothing is placed on them, known or not. */
+  readonly leaving = new Set<string>();
   private nodeCount = 0;
 
   constructor(
@@ -127,7 +129,7 @@
       listedMs: -Infinity,
       takenMs: Infinity,
       idleSinceMs: nowMs,
-      returning: false,
+      returning: this.leaving.has(fields.name),
       images: new Map(),
       failedJobs: new Set(),
     };
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -1,5 +1,5 @@
 import { Socket } from 'node:net';
-import type { Clock } from '../clock.js';
+import type { Clock } from '@pumicehinge/runtime';
 import { MAX_ANSWER_BYTES, POOL_IDLE_MS, POOL_QUEUE, POOL_SIZE } from '../constants.js';
 import {
   AnswerTooLargeError,
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -1,6 +1,6 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import type { Logger } from 'pino';
-import type { Clock } from '../clock.js';
+import type { Clock } from '@pumicehinge/runtime';
 import {
   CROWDED_SHARE,
   IDLE_CONNECTION_MS,
--- a/src/leadership/deputy.ts
+++ b/src/leadership/deputy.ts
@@ -1,6 +1,5 @@
 import type { Logger } from 'pino';
-import { Actor } from '../actor.js';
-import type { Clock } from '../clock.js';
+import { Actor, type Clock } from '@pumicehinge/runtime';
 import {
   DEPUTY_AFTER_MS,
   DEPUTY_FRESH_MS,
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -1,6 +1,5 @@
 import type { Logger } from 'pino';
-import { Actor } from '../actor.js';
-import type { Clock } from '../clock.js';
+import { Actor, type Clock } from '@pumicehinge/runtime';
 import {
   PROMISE_ASK_MS,
   PROMISE_MS,
@@ -17,7 +16,15 @@
 } from '../constants.js';
 import type { Row, StateClient, TxnResult } from '../state/client.js';
 import type { Mirror } from '../state/mirror.js';
-import { decodeJob, isCancelled, isJobKey, LEADER_KEY, TERM_KEY } from '../state/records.js';
+import {
+  decodeJob,
+  decodeLeader,
+  encodeLeader,
+  isCancelled,
+  isJobKey,
+  LEADER_KEY,
+  TERM_KEY,
+} from '../state/records.js';
 import { isObject, type WireInt } from '../wire/json.js';
 import { Authority } from './authority.js';
 import type { LogPosition } from './cancellation-log.js';
@@ -78,7 +85,7 @@
   private readonly logsRead = new Map<string, LogPosition>();
 
   constructor(
-    private readonly self: { member: string; zone: string },
+    private readonly self: { member: string; zone: string; delegates?: boolean },
     private readonly peers: Peer[],
     private readonly client: StateClient,
     private readonly mirror: Mirror,
@@ -185,8 +192,12 @@
 
   /** Who leads as far as this controller knows. */
   leader(): string | undefined {
-    const value = this.mirror.get(LEADER_KEY)?.value;
-    return isObject(value) && typeof value.member === 'string' ? value.member : undefined;
+    return decodeLeader(this.mirror.get(LEADER_KEY)?.value)?.member;
+  }
+
+  private leaderValue(term: number): unknown {
+    const { member, delegates = false } = this.self;
+    return encodeLeader({ member, term, delegates });
   }
 
   holdsTerm(term: Term): boolean {
@@ -302,7 +313,7 @@
           { key: TERM_KEY, stamp: known?.stamp ?? 0 },
         ],
         [
-          { key: LEADER_KEY, value: { member: this.self.member, term: number }, hold },
+          { key: LEADER_KEY, value: this.leaderValue(number), hold },
           { key: TERM_KEY, value: { term: number } },
         ],
       );
@@ -334,7 +345,7 @@
       touching: false,
       sinceMs: this.clock.steadyMs(),
     };
-    this.mirror.confirm(LEADER_KEY, { member: this.self.member, term: number }, result.epoch);
+    this.mirror.confirm(LEADER_KEY, this.leaderValue(number), result.epoch);
     this.mirror.confirm(TERM_KEY, { term: number }, result.epoch);
     this.client.setLeading(true);
     this.log.info({ term: number }, 'leading');
--- a/src/leadership/fleet-upkeep.ts
+++ b/src/leadership/fleet-upkeep.ts
@@ -1,5 +1,7 @@
 import type { Logger } from 'pino';
-import type { Cloud, CloudEvent } from '../cloud/cloud.js';
+import type { GiveBackDuty } from '@pumicehinge/duties';
+import type { CloudEvent } from '../cloud/cloud.js';
+import type { FleetOrders } from '../cloud/fleet-orders.js';
 import {
   GONE_KEEP_MS,
   LEAST_CHARGE_MS,
@@ -30,7 +32,7 @@
   recovery: Recovery;
   records: NodeRecords;
   commands: WorkerCommands;
-  cloud: Cloud;
+  orders: FleetOrders;
   mirror: Mirror;
   write: JobStore['write'];
   placer: Placer;
@@ -43,6 +45,20 @@
 
 type Listed = Extract<CloudEvent, { kind: 'listed' }>;
 
+type ReturnReason =
+  | 'idle'
+  | 'notice'
+  | 'failed'
+  | 'faulty'
+  | 'not listed'
+  | 'never came up'
+  | 'silent'
+  | 'answers do not reach it';
+
+/** A machine that is well but not needed is returned; all others are taken back with whatever is on them. */
+const dutyFor = (reason: ReturnReason): GiveBackDuty =>
+  reason === 'idle' || reason === 'notice' ? 'return' : 'reclaim';
+
 /** Keeps the fleet in order: takes over the cloud's lists, drains machines that end soon, returns what is of no use. */
 export class FleetUpkeep {
   /** Machines deleted lately, with when. */
@@ -68,7 +84,18 @@
     }
   }
 
+  /** Machines that earlier terms have irrevocably begun to give back, or that are gone. */
+  inherit(leaving: string[], gone: string[], now: number): void {
+    for (const name of leaving) {
+      this.deps.ledger.leaving.add(name);
+      const node = this.deps.ledger.nodes.get(name);
+      if (node) node.returning = true;
+    }
+    if (gone.length > 0) this.onReturned(gone, now);
+  }
+
   private forget(node: Node): void {
+    this.deps.ledger.leaving.delete(node.name);
     this.deps.ledger.removeNode(node);
     this.deps.recovery.account(node);
     this.deps.records.forget(node);
@@ -102,13 +129,13 @@
     return this.deps.ledger.addNode({ name, address, type, zone, spot, capacity }, now);
   }
 
-  private returnNode(node: Node, reason: string): void {
+  private returnNode(node: Node, reason: ReturnReason): void {
     if (node.returning || !this.deps.term.authority.holds(this.deps.nowMs())) return;
     node.returning = true;
     this.deps.log.info({ node: node.name, reason }, 'returning machine');
     if (node.spot && reason !== 'idle' && node.reportedMs > -Infinity)
       this.deps.losses.lose(this.deps.nowMs());
-    this.deps.cloud.send({ kind: 'returnMachines', names: [node.name] });
+    this.deps.orders.giveBack(dutyFor(reason), [node.name]);
   }
 
   /** Looks at each machine: whether its lease has ended, and whether it can still be used. */
--- a/src/leadership/leader.ts
+++ b/src/leadership/leader.ts
@@ -1,7 +1,9 @@
 import type { Logger } from 'pino';
-import { Actor } from '../actor.js';
-import type { Clock } from '../clock.js';
-import { Cloud, type CloudEvent } from '../cloud/cloud.js';
+import { Actor, type Clock } from '@pumicehinge/runtime';
+import type { Duties } from '@pumicehinge/duties';
+import { Cloud, leaderRates, type CloudEvent } from '../cloud/cloud.js';
+import { DirectOrders, type FleetOrders } from '../cloud/fleet-orders.js';
+import { DelegatedOrders } from '../duties/delegated-orders.js';
 import {
   FLEET_REVIEW_REST,
   FLEET_REVIEW_SPACING_MS,
@@ -9,6 +11,7 @@
   PASS_REST,
   PASS_SPACING_MS,
 } from '../constants.js';
+import type { Offer } from '../cloud/codec.js';
 import { Health } from '../fleet/health.js';
 import { Ledger } from '../fleet/ledger.js';
 import { NodeRecords, type GroupEnd } from '../fleet/node-records.js';
@@ -49,6 +52,8 @@
   workerCaller: HttpCaller;
   clock: Clock;
   log: Logger;
+  /** Whose holders rent and give back machines for this leader; undefined: it calls the cloud itself. */
+  duties: Duties | undefined;
   onFailure: (error: unknown) => void;
   /** Whether no controller of this zone is heard of, though there is one: it may be cut off. */
   zoneSilent: (zone: string) => boolean;
@@ -78,6 +83,7 @@
   private readonly placer: Placer;
   private readonly renter: Renter;
   private readonly cloud: Cloud;
+  private readonly orders: FleetOrders;
   private readonly commands: WorkerCommands;
   private readonly recovery: Recovery;
   private readonly reports: ReportIntake;
@@ -110,6 +116,7 @@
       released: (attempt) => this.tasks.released(attempt),
     });
     this.cloud = this.createCloud();
+    this.orders = this.createOrders();
     this.store = this.createStore();
     const write: JobStore['write'] = (conditions, operations) => this.store.write(conditions, operations);
     this.catalogue = new Catalogue({ mirror, write, log });
@@ -178,7 +185,7 @@
       recovery: this.recovery,
       records: this.records,
       commands: this.commands,
-      cloud: this.cloud,
+      orders: this.orders,
       mirror,
       write,
       placer: this.placer,
@@ -215,6 +222,7 @@
       log,
     });
     this.recovery.load(this.records, capacityOf);
+    this.inheritOrders();
     this.cloud.send({ kind: 'tick' });
     this.pass.soon();
     log.info({ jobs: this.store.jobs.size, unaccounted: this.recovery.unaccountedCount }, 'leader ready');
@@ -225,7 +233,7 @@
     return new Cloud(
       deps.caller,
       deps.settings.cloudAddress,
-      deps.settings.cloud.rps,
+      leaderRates(deps.settings.cloud.rps, deps.duties !== undefined),
       deps.clock,
       (event) => this.send({ kind: 'cloud', event }),
       () => deps.term.authority.holds(this.now()),
@@ -234,6 +242,22 @@
     );
   }
 
+  private createOrders(): FleetOrders {
+    const { duties, term, settings, onFailure } = this.deps;
+    if (!duties) return new DirectOrders(this.cloud);
+    const tell = (event: CloudEvent): void => this.send({ kind: 'cloud', event });
+    return new DelegatedOrders(duties, term, settings.state.valueBytes, tell, onFailure);
+  }
+
+  /** What earlier terms have irrevocably begun stands before anything is decided anew. */
+  private inheritOrders(): void {
+    const now = this.now();
+    const { renting, rented, leaving, gone } = this.orders.inherited();
+    this.upkeep.inherit(leaving, gone, now);
+    for (const { names, offer } of rented) this.addRented(names, offer, now);
+    for (const rental of renting) this.renter.adopt(rental);
+  }
+
   private createStore(): JobStore {
     const { settings, term, mirror, writer, clock, log } = this.deps;
     return new JobStore({
@@ -282,13 +306,14 @@
       startObjectives: settings.startObjectives,
       arrivals: () => [...this.store.jobs.values()].filter((job) => job.isService && job.isOpen),
       wallMs: () => clock.wallMs(),
-      ask: (rental) => this.cloud.send({ kind: 'rent', rental }),
+      ask: (rental) => this.orders.rent(rental),
     });
   }
 
   override stop(): void {
     super.stop();
     this.cloud.stop();
+    this.orders.stop();
     this.pass.stop();
   }
 
@@ -370,12 +395,16 @@
   private onRented({ rental, names }: Extract<CloudEvent, { kind: 'rented' }>, now: number): void {
     const { offer } = rental;
     this.renter.rented(rental, names.length, now);
+    this.addRented(names, offer, now);
+    this.log.info({ ...offer, names }, 'machines rented');
+  }
+
+  private addRented(names: string[], offer: Offer, now: number): void {
     const capacity = this.catalogue.capacityOf(offer.type);
-    const unknown = names.filter((name) => !this.ledger.nodes.has(name));
+    const unknown = names.filter((name) => !this.ledger.nodes.has(name) && !this.upkeep.isGone(name));
     this.records.add(
       unknown.map((name) => this.ledger.addNode({ name, address: '', ...offer, capacity }, now)),
     );
-    this.log.info({ ...offer, names }, 'machines rented');
   }
 
   /** One round of decisions: reviews the fleet if that is due, then schedules and sends commands. */
--- a/src/leadership/peers.ts
+++ b/src/leadership/peers.ts
@@ -1,6 +1,6 @@
 import { createServer, Socket, type Server } from 'node:net';
 import type { Logger } from 'pino';
-import type { Clock } from '../clock.js';
+import type { Clock } from '@pumicehinge/runtime';
 import { PEER_BEAT_MS, PEER_RETRY_MS, PEER_SILENT_MS } from '../constants.js';
 import { splitAddress } from '../http/server.js';
 import { isObject } from '../wire/json.js';
--- a/src/leadership/relay.ts
+++ b/src/leadership/relay.ts
@@ -1,6 +1,5 @@
 import type { Logger } from 'pino';
-import { Actor } from '../actor.js';
-import type { Clock } from '../clock.js';
+import { Actor, type Clock } from '@pumicehinge/runtime';
 import { RELAY_FRESH_MS, RELAY_GIVE_UP_MS, RELAY_LOOK_MS, RELAY_NUMBERS } from '../constants.js';
 import { encodeRedirect } from '../fleet/codec.js';
 import type { Respond } from '../http/message.js';
--- a/src/leadership/scheduling-pass.ts
+++ b/src/leadership/scheduling-pass.ts
@@ -1,5 +1,5 @@
 import type { Logger } from 'pino';
-import type { Clock } from '../clock.js';
+import type { Clock } from '@pumicehinge/runtime';
 import { FLEET_REVIEW_REST, RENT_SPACING_MS, STARVATION_MS } from '../constants.js';
 import type { NodeRecords } from '../fleet/node-records.js';
 import { PacedTask } from '../paced-task.js';
--- a/src/main.ts
+++ b/src/main.ts
@@ -2,7 +2,7 @@
 import { destination, pino } from 'pino';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
-import { systemClock } from './clock.js';
+import { systemClock } from '@pumicehinge/runtime';
 import { POOL_SIZE } from './constants.js';
 import { Controller } from './controller.js';
 import { SocketCaller } from './http/client.js';
--- a/src/memory-guard.ts
+++ b/src/memory-guard.ts
@@ -1,5 +1,5 @@
 import type { Logger } from 'pino';
-import type { Clock } from './clock.js';
+import type { Clock } from '@pumicehinge/runtime';
 import { MEMORY_EASED_RATIO, MEMORY_LOOK_MS } from './constants.js';
 
 /**
--- a/src/paced-task.ts
+++ b/src/paced-task.ts
@@ -1,4 +1,4 @@
-import type { Clock } from './clock.js';
+import type { Clock } from '@pumicehinge/runtime';
 
 /** How often a piece of work may run. */
 export interface Pace {
--- a/src/placement/renter.ts
+++ b/src/placement/renter.ts
@@ -50,6 +50,11 @@
     this.refusedUntil.set(offerKey(offer), now + (reason === 'no capacity' ? REFUSED_MS : REFUSED_MS / 4));
   }
 
+  /** A rental of an earlier term that is still being carried out: its machines will come. */
+  adopt(rental: Rental): void {
+    this.rentals.set(rental.name, rental);
+  }
+
   rent(waiting: Job[], now: number): void {
     if (this.deps.types().size === 0 || !this.listed) return;
     const demands: Demand[] = [];
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -38,6 +38,7 @@
 export interface OperatorSettings {
   idleKeepS: number;
   useSpot: boolean;
+  duties: { enabled: boolean };
 }
 
 /** A settings file that can't be used; the message is one line for the operator. */
--- a/src/simulation/cloud.ts
+++ b/src/simulation/cloud.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../clock.js';
+import type { Clock } from '@pumicehinge/runtime';
 import type { HttpResponse } from '../http/message.js';
 import type { SimWorker, WorkerPlace } from './workers.js';
 
--- a/src/simulation/day.ts
+++ b/src/simulation/day.ts
@@ -5,7 +5,7 @@
 import type { HttpResponse } from '../http/message.js';
 import type { Settings } from '../settings.js';
 import { shareSockets } from '../sizing.js';
-import { ProcessClock, SimClock } from './clock.js';
+import { ProcessClock, SimClock } from '@pumicehinge/runtime/simulated-clock';
 import { SimCloud } from './cloud.js';
 import { SimNetwork, SimPeers } from './network.js';
 import { SimRules, type SimJob } from './rules.js';
@@ -33,6 +33,8 @@
   reportS?: number;
   /** Rates of the outside services; lacking: those of a small deployment. */
   rates?: { rps: number; writesPerS: number; cloudRps: number };
+  /** Controllers that hold duties, and leave them to their holders when they lead; lacking: none. */
+  duties?: readonly string[];
   /** Limits that are announced for the state service. */
   next?: { valueBytes: number; txnOps: number };
 }
@@ -95,7 +97,11 @@
     cloud: { rps: rates.cloudRps, listLagS: 0 },
     sockets: shareSockets(900),
     memoryBytes: 108 * 1024 * 1024,
-    operator: { idleKeepS: 45, useSpot: true },
+    operator: {
+      idleKeepS: 45,
+      useSpot: true,
+      duties: { enabled: options.duties?.includes(member) ?? false },
+    },
   };
 }
 
--- a/src/simulation/network.ts
+++ b/src/simulation/network.ts
@@ -1,7 +1,7 @@
 import { CallError, type HttpCaller, type HttpResponse } from '../http/message.js';
 import type { PeerMessage } from '../leadership/peer-codec.js';
 import type { PeerChannel } from '../leadership/peers.js';
-import type { SimClock } from './clock.js';
+import type { SimClock } from '@pumicehinge/runtime/simulated-clock';
 
 export type SimHandler = (
   from: string,
--- a/src/simulation/state-service.ts
+++ b/src/simulation/state-service.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../clock.js';
+import type { Clock } from '@pumicehinge/runtime';
 import type { HttpResponse } from '../http/message.js';
 
 interface Row {
@@ -48,6 +48,16 @@
     tick();
   }
 
+  /** The keys with a prefix. */
+  keys(prefix: string): string[] {
+    return [...this.rows.keys()].filter((key) => key.startsWith(prefix));
+  }
+
+  /** Changes of keys with a prefix so far. */
+  writesOf(prefix: string): number {
+    return this.log.filter(({ key }) => key.startsWith(prefix)).length;
+  }
+
   /** The value of a key, as the service holds it. */
   peek(key: string): unknown {
     return this.rows.get(key)?.v;
--- a/src/simulation/workers.ts
+++ b/src/simulation/workers.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../clock.js';
+import type { Clock } from '@pumicehinge/runtime';
 import type { HttpCaller, HttpResponse } from '../http/message.js';
 import type { SimNetwork } from './network.js';
 import type { SimRules } from './rules.js';
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -1,4 +1,4 @@
-import { RateBudget, sleep, type Clock } from '../clock.js';
+import { RateBudget, sleep, type Clock } from '@pumicehinge/runtime';
 import {
   FOLLOWER_BURST_S,
   LEADER_REQUESTS,
--- a/src/state/mirror.ts
+++ b/src/state/mirror.ts
@@ -1,5 +1,5 @@
 import type { Logger } from 'pino';
-import { sleep, type Clock } from '../clock.js';
+import { sleep, type Clock } from '@pumicehinge/runtime';
 import {
   LOAD_PAGE_ROWS,
   STATE_RETRY_MS,
--- a/src/state/records.ts
+++ b/src/state/records.ts
@@ -10,13 +10,35 @@
 export const CATALOG_KEY = 'ph/catalog';
 export const LOSSES_KEY = 'ph/losses';
 const JOB_PREFIX = 'ph/j/';
-const DONE_PREFIX = 'ph/d/';
-const DEPENDENCY_PREFIX = 'ph/w/';
+/** Finished tasks of large arrays. */
+export const DONE_CHUNKS = 'ph/d/';
+/** Lists of jobs that do not fit into a job's own value. */
+export const DEPENDENCY_LISTS = 'ph/w/';
 
 export const jobKey = (uid: string): string => JOB_PREFIX + uid;
-export const doneKey = (uid: string, chunk: number): string => `${DONE_PREFIX}${uid}/${chunk}`;
+export const doneKey = (uid: string, chunk: number): string => `${DONE_CHUNKS}${uid}/${chunk}`;
 export const dependencyKey = (uid: string, set: DependencySet, part: number): string =>
-  `${DEPENDENCY_PREFIX}${uid}/${set.id}-${part}`;
+  `${DEPENDENCY_LISTS}${uid}/${set.id}-${part}`;
+/** The job to which a row of details, by its key, belongs. */
+export const detailOwner = (key: string): string => key.split('/')[2] ?? '';
+
+/** Who leads. */
+export interface LeaderRecord {
+  member: string;
+  term: number;
+  /** Whether the holders of duties do what it decides outside the workers; a former version does all itself. */
+  delegates: boolean;
+}
+
+export function encodeLeader({ member, term, delegates }: LeaderRecord): unknown {
+  return { member, term, ...(delegates ? { delegates: true } : {}) };
+}
+
+export function decodeLeader(value: unknown): LeaderRecord | undefined {
+  if (!isObject(value) || typeof value.member !== 'string') return undefined;
+  return { member: value.member, term: Number(value.term), delegates: value.delegates === true };
+}
+
 /** Machines are recorded in groups that were rented together, so that hundreds take a few writes. */
 export const GROUPS = 'ph/g/';
 export const groupKey = (name: string): string => GROUPS + name;
--- a/src/state/writer.ts
+++ b/src/state/writer.ts
@@ -1,5 +1,5 @@
 import type { Logger } from 'pino';
-import { sleep, type Clock } from '../clock.js';
+import { sleep, type Clock } from '@pumicehinge/runtime';
 import { STATE_RETRY_MS, TXN_BYTES, WRITER_QUEUE } from '../constants.js';
 import { formatJson, type WireInt } from '../wire/json.js';
 import type { Condition, Operation, StateClient } from './client.js';
--- a/src/user-api/user-api.ts
+++ b/src/user-api/user-api.ts
@@ -1,5 +1,5 @@
 import type { Logger } from 'pino';
-import type { Clock } from '../clock.js';
+import type { Clock } from '@pumicehinge/runtime';
 import {
   LOGGED_BODY,
   MAX_USERS_WAITING,
--- a/test/cloud.test.ts
+++ b/test/cloud.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { pino } from 'pino';
-import { Cloud } from '../src/cloud/cloud.js';
-import { SimClock } from '../src/simulation/clock.js';
+import { Cloud, leaderRates } from '../src/cloud/cloud.js';
+import { SimClock } from '@pumicehinge/runtime/simulated-clock';
 
 test('nothing is asked of the cloud after a pause in which the authority ended', async () => {
   const clock = new SimClock();
@@ -16,7 +16,7 @@
       },
     },
     'cloud:1',
-    2,
+    leaderRates(2, false),
     clock,
     () => undefined,
     () => authority,
--- a/test/deputy.test.ts
+++ b/test/deputy.test.ts
@@ -3,7 +3,7 @@
 import { pino } from 'pino';
 import { DEPUTY_AFTER_MS } from '../src/constants.js';
 import { Deputy } from '../src/leadership/deputy.js';
-import { SimClock } from '../src/simulation/clock.js';
+import { SimClock } from '@pumicehinge/runtime/simulated-clock';
 import type { Mirror } from '../src/state/mirror.js';
 import { LEADER_KEY } from '../src/state/records.js';
 import type { Writer } from '../src/state/writer.js';
--- /dev/null
+++ b/test/duties.test.ts
@@ -0,0 +1,178 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { CloudCalls } from '../src/duties/cloud-actions.js';
+import { removableRows } from '../src/duties/removable-rows.js';
+import { SimDay, type DayOptions } from '../src/simulation/day.js';
+import type { SimJob } from '../src/simulation/rules.js';
+import type { Mirror } from '../src/state/mirror.js';
+import {
+  decodeLeader,
+  dependencyKey,
+  doneKey,
+  encodeJob,
+  encodeLeader,
+  jobKey,
+  type JobRecord,
+} from '../src/state/records.js';
+import { formatJson } from '../src/wire/json.js';
+import { jobSpec } from './fixtures.js';
+import { STORED } from './former.js';
+
+const DAY_S = 230;
+const ALL = ['c0', 'c1', 'c2'];
+
+function load(day: SimDay): SimJob[] {
+  const mustEnd: SimJob[] = [];
+  day.at(2, () => day.submit({ kind: 'service', team: 'red', tasks: 3, scatter: true }));
+  for (let i = 0; i < 12; i++)
+    day.at(5 + i * 11, () =>
+      mustEnd.push(day.submit({ tasks: 1 + ((i * 5) % 13), runS: 8 + i, spot: i % 2 === 0 })),
+    );
+  day.at(20, () => day.submit({ team: 'red', tasks: 6, runS: 60 }, 15));
+  return mustEnd;
+}
+
+const holder = (day: SimDay, duty: string): string | undefined =>
+  (day.state.peek(`ph/duty-holder/${duty}`) as { member: string } | undefined)?.member;
+
+/** What goes wrong, at which second, with the duties on. Every rule must hold and every array end all the same. */
+const DAYS: { name: string; options?: Partial<DayOptions>; trouble: (day: SimDay) => void }[] = [
+  { name: 'quiet', trouble: () => undefined },
+  {
+    name: 'whoever holds renting stands still for longer than its lease, again and again',
+    trouble: (day) =>
+      [25, 45, 65, 85].forEach((s) => day.at(s, () => day.freeze(holder(day, 'rent') ?? 'c0', 9000))),
+  },
+  {
+    name: 'leader and holders end together',
+    trouble: (day) =>
+      [30, 60, 90].forEach((s) =>
+        day.at(s, () => {
+          const members = new Set([day.leader, holder(day, 'rent'), holder(day, 'return')]);
+          for (const member of members) if (member) day.crash(member, 3000);
+        }),
+      ),
+  },
+  {
+    name: 'all controllers end, and again while they elect',
+    trouble: (day) => [40, 46.5].forEach((s) => day.at(s, () => ALL.forEach((c) => day.crash(c, 300)))),
+  },
+  {
+    name: 'the state service is down for longer than a lease, and the cloud after it',
+    trouble: (day) => {
+      day.at(40, () => day.state.refused.add('*'));
+      day.at(58, () => day.state.endOutage());
+      day.at(70, () => (day.cloud.down = true));
+      day.at(95, () => (day.cloud.down = false));
+    },
+  },
+  {
+    name: 'late transactions',
+    trouble: (day) => {
+      day.at(20, () => (day.state.lateShare = 0.3));
+      day.at(90, () => (day.state.lateShare = 0));
+    },
+  },
+  {
+    name: 'one controller without duties, which leads for a while',
+    options: { duties: ['c0', 'c1'] },
+    trouble: (day) => {
+      // Only c2 is left to lead, with machines on order and on their way back.
+      day.at(14, () => ['c0', 'c1'].forEach((c) => day.crash(c, 9000)));
+      day.at(70, () => day.crash('c2', 5000));
+      day.at(100, () => ['c0', 'c1'].forEach((c) => day.crash(c, 9000)));
+      day.at(150, () => day.crash('c2', 12_000));
+    },
+  },
+];
+
+for (const [i, { name, options, trouble }] of DAYS.entries())
+  test(`duties on: ${name}`, async () => {
+    const day = new SimDay(61 + i, { controllers: 3, machines: 24, scale: 1, duties: ALL, ...options });
+    const mustEnd = load(day);
+    trouble(day);
+    day.calmMs = 120_000;
+    await day.clock.runUntil(DAY_S * 1000);
+    assert.deepEqual(day.rules.broken, []);
+    assert.deepEqual(
+      mustEnd.filter((job) => !day.isOver(job)).map((job) => job.uid),
+      [],
+    );
+    assert.ok(day.cloud.rented > 0 && holder(day, 'rent') !== undefined);
+  });
+
+test('a machine costs few writes over its life, and its orders do not stay', async () => {
+  const day = new SimDay(77, { controllers: 3, machines: 24, scale: 4, duties: ALL });
+  for (let i = 0; i < 4; i++) day.at(3 + i * 60, () => day.submit({ tasks: 30, runS: 10 }));
+  await day.clock.runUntil(480_000);
+  assert.ok(day.cloud.rented >= 20, `${day.cloud.rented} machines`);
+  const orders = day.state.keys('ph/duty-order/');
+  assert.ok(orders.length <= 12, `${orders.length} orders left`);
+  // An order is written, begun, ended and deleted; machines are rented and given back several at a time.
+  assert.ok(day.state.writesOf('ph/duty-order/') <= 4 * day.cloud.rented);
+});
+
+test('with the duties off the leader is recorded as by the version in production', () => {
+  assert.equal(formatJson(encodeLeader({ member: 'hearth-2', term: 12, delegates: false })), STORED.leader);
+  assert.equal(decodeLeader(JSON.parse(STORED.leader))?.delegates, false);
+  assert.equal(decodeLeader(encodeLeader({ member: 'a', term: 3, delegates: true }))?.delegates, true);
+});
+
+test('details are removable once their job answers without them', () => {
+  const record = (phase: JobRecord['phase'], spec?: JobRecord['spec']): unknown =>
+    encodeJob({ phase, tasks: 4, spec, acceptedMs: 5, tuple: 'S', successor: false, done: '' });
+  const list = (uid: string): string => dependencyKey(uid, { id: 'k1', parts: 1 }, 0);
+  const values: [key: string, value: unknown, removable: boolean][] = [
+    [jobKey('done'), record('done'), false],
+    [doneKey('done', 1), 'AA==', true],
+    [list('done'), ['job-000001'], true],
+    [jobKey('open'), record('open', jobSpec()), false],
+    [doneKey('open', 1), 'AA==', false],
+    [list('open'), ['job-000001'], false],
+    [jobKey('cancelled'), record('cancelled'), false],
+    // Its user is still shown how many tasks were done.
+    [doneKey('cancelled', 1), 'AA==', false],
+    [list('cancelled'), ['job-000001'], true],
+    [jobKey('stopping'), record('cancelled', jobSpec()), false],
+    [list('stopping'), ['job-000001'], false],
+    // A submission may be under way.
+    [list('unknown'), ['job-000001'], false],
+    [jobKey('odd'), 'rubbish', false],
+    [doneKey('odd', 1), 'AA==', false],
+  ];
+  const rows = new Map(values.map(([key, value], i) => [key, { key, value, stamp: i + 1 }]));
+  const mirror = {
+    get: (key: string) => rows.get(key),
+    startingWith: (prefix: string) => [...rows.values()].filter(({ key }) => key.startsWith(prefix)),
+  } as unknown as Mirror;
+  const expected = values.filter(([, , removable]) => removable).map(([key]) => key);
+  assert.deepEqual(
+    removableRows(mirror, 100)
+      .map(({ key }) => key)
+      .sort(),
+    expected.sort(),
+  );
+  assert.equal(removableRows(mirror, 1).length, 1);
+  for (const { conditions } of removableRows(mirror, 100)) assert.equal(conditions.length, 1);
+});
+
+test('an answer of the cloud that does not fit its request is not believed', async () => {
+  const cases: [status: number, body: string, kind: string][] = [
+    [200, '{"hearths":["vm-1","vm-2"]}', 'rented'],
+    [200, '{"hearths":[]}', 'rented'],
+    [200, '{"hearths":["vm-1","vm-2","vm-3"]}', 'refused'],
+    [200, '{"hearths":["vm-1","vm-1"]}', 'refused'],
+    [200, '[', 'refused'],
+    [200, '7', 'refused'],
+    [503, '{"error":"no capacity"}', 'refused'],
+    [429, '', 'unknown'],
+    [500, '', 'unknown'],
+  ];
+  for (const [status, body, kind] of cases) {
+    const calls = new CloudCalls({ call: () => Promise.resolve({ status, body }) }, 'cloud:1');
+    const result = await calls.rent('r-1-1', { type: 'm', zone: 'z', spot: false }, 2);
+    assert.equal(result.kind, kind, `${status} ${body}`);
+  }
+  const lost = new CloudCalls({ call: () => Promise.reject(new Error('lost')) }, 'cloud:1');
+  assert.deepEqual(await lost.giveBack(['vm-1']), { kind: 'unknown', answered: false });
+});
--- a/test/election.test.ts
+++ b/test/election.test.ts
@@ -5,7 +5,7 @@
 import { Election, type Term } from '../src/leadership/election.js';
 import { Knowledge } from '../src/leadership/knowledge.js';
 import type { PeerMessage } from '../src/leadership/peer-codec.js';
-import { SimClock } from '../src/simulation/clock.js';
+import { SimClock } from '@pumicehinge/runtime/simulated-clock';
 import type { Change, Row, StateClient } from '../src/state/client.js';
 import type { Mirror } from '../src/state/mirror.js';
 import { encodeJob, jobKey, LEADER_KEY, TERM_KEY } from '../src/state/records.js';
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -2,7 +2,7 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { test } from 'node:test';
 import { pino } from 'pino';
-import { systemClock, type Clock } from '../src/clock.js';
+import { systemClock, type Clock } from '@pumicehinge/runtime';
 import { LEFT_CONNECTION_MS, MAX_BODY_BYTES } from '../src/constants.js';
 import { SocketCaller } from '../src/http/client.js';
 import { CallError } from '../src/http/message.js';
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -4,7 +4,7 @@
 import { setImmediate } from 'node:timers/promises';
 import test from 'node:test';
 import { pino } from 'pino';
-import type { Clock } from '../src/clock.js';
+import type { Clock } from '@pumicehinge/runtime';
 import { PEER_FRAME_BYTES, PEER_RETRY_MS } from '../src/constants.js';
 import { PeerLinks } from '../src/leadership/peers.js';
 
--- a/test/program.test.ts
+++ b/test/program.test.ts
@@ -31,6 +31,11 @@
     [['--config', write('lacking.toml', SETTINGS.replace('member = "a"', ''))], 2, /'member'/],
     [['--config', good, '--operator', write('o.json', '{"idleKeepS": -1}')], 2, /idleKeepS must be >= 0/],
     [['--config', good, '--operator', write('p.json', '{"other": 1}')], 2, /additional properties/],
+    [
+      ['--config', good, '--operator', write('q.json', '{"duties":{"enabled":1}}')],
+      2,
+      /duties\/enabled must be boolean/,
+    ],
     [['--config', good, '--unknown'], 1, /unknown option/],
     [[], 1, /--config/],
   ];
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -13,7 +13,7 @@
 import type { PeerMessage } from '../src/leadership/peer-codec.js';
 import { LeaderRelief } from '../src/leadership/leader-relief.js';
 import { Relay } from '../src/leadership/relay.js';
-import { SimClock } from '../src/simulation/clock.js';
+import { SimClock } from '@pumicehinge/runtime/simulated-clock';
 
 const MOST_WAITING = 3;
 
--- a/test/sizing.test.ts
+++ b/test/sizing.test.ts
@@ -10,11 +10,11 @@
 } from '../src/constants.js';
 import { settingsWarnings } from '../src/settings-warnings.js';
 import type { Settings } from '../src/settings.js';
-import { Cloud, type CloudEvent } from '../src/cloud/cloud.js';
+import { Cloud, leaderRates, type CloudEvent } from '../src/cloud/cloud.js';
 import type { HttpCaller } from '../src/http/message.js';
 import { AnswerTooLargeError } from '../src/http/message.js';
 import { MemoryGuard } from '../src/memory-guard.js';
-import { SimClock } from '../src/simulation/clock.js';
+import { SimClock } from '@pumicehinge/runtime/simulated-clock';
 import { shareMemory, shareSockets } from '../src/sizing.js';
 import { Mirror } from '../src/state/mirror.js';
 import { StateClient } from '../src/state/client.js';
@@ -185,7 +185,7 @@
   const cloud = new Cloud(
     caller,
     'c:1',
-    RPS,
+    leaderRates(RPS, false),
     clock,
     onEvent,
     () => true,
--- a/test/writer.test.ts
+++ b/test/writer.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { pino } from 'pino';
-import { SimClock } from '../src/simulation/clock.js';
+import { SimClock } from '@pumicehinge/runtime/simulated-clock';
 import { StateClient, type Operation, type TxnResult } from '../src/state/client.js';
 import type { Mirror } from '../src/state/mirror.js';
 import { Writer } from '../src/state/writer.js';
