--- a/packages/duties/src/constants.ts
+++ b/packages/duties/src/constants.ts
@@ -16,6 +16,8 @@
 export const CANDIDACY_STEP_MS = 400;
 /** ms: longest random pause before a candidacy, so that two candidates seldom collide. */
 export const CANDIDACY_JITTER_MS = 200;
+/** ms: a term lasts this long before a duty is taken by others than its leader: until then all have enough to do. */
+export const SETTLING_MS = 4_000;
 /** ms: by which others leave a free duty that the leader had better hold to it. */
 export const LEADER_FIRST_MS = 1_000;
 /** ms: a term lasts this long before such a duty is handed to its leader: right after a change it has enough to do. */
--- a/packages/duties/src/duty-leases.ts
+++ b/packages/duties/src/duty-leases.ts
@@ -13,6 +13,7 @@
   IDLE_LEASE_MS,
   LEADER_FIRST_MS,
   RESIGNATION_PAUSE_MS,
+  SETTLING_MS,
 } from './constants.js';
 import { LeaseAuthority, type Renewal } from './lease-authority.js';
 import type { Condition, DutyStore, LeaderView, Revision } from './ports.js';
@@ -150,12 +151,18 @@
     this.session?.authority.holds(now);
     this.renewIfDue(now);
     if (!this.deps.store.isReady()) return;
+    this.noteLeader(now);
     for (const duty of DUTIES) this.watch(duty, now);
     this.maybeBecomeCandidate(now);
     this.handToLeader(now);
     this.endIdleLease(now);
   }
 
+  private noteLeader(now: number): void {
+    const stamp = this.deps.leader()?.fence.stamp;
+    if (stamp !== undefined && stamp !== this.seenLeader?.stamp) this.seenLeader = { stamp, sinceMs: now };
+  }
+
   private heldCount(): number {
     return DUTIES.filter((duty) => this.grantOf(duty)).length;
   }
@@ -186,8 +193,6 @@
 
   private maybeBecomeCandidate(now: number): void {
     if (this.candidacy || this.granting || now < this.nextCandidacyMs) return;
-    // Beside a former version, which does everything itself, nobody is needed.
-    if (this.deps.leader()?.delegates === false) return;
     const duty = this.dueCandidacy(now);
     if (duty === undefined) return;
     if (!this.session) this.requestLease();
@@ -197,12 +202,20 @@
   private dueCandidacy(now: number): Duty | undefined {
     const due = [...this.free].filter(
       ([duty, { sinceMs, candidacyMs }]) =>
-        now - sinceMs >= this.delayMs(duty) + candidacyMs &&
+        now - Math.max(sinceMs, this.wantedFromMs(duty)) >= this.delayMs(duty) + candidacyMs &&
         now >= (this.resignedUntilMs.get(duty) ?? -Infinity),
     );
     return due[Math.floor(this.deps.random() * due.length)]?.[0];
   }
 
+  /** Without a leader nothing is ordered, and one of a former version does everything itself. */
+  private wantedFromMs(duty: Duty): number {
+    const leader = this.deps.leader();
+    if (!leader?.delegates || !this.seenLeader) return Infinity;
+    const isOurs = leader.member === this.deps.member && BEST_WITH_LEADER.includes(duty);
+    return this.seenLeader.sinceMs + (isOurs ? 0 : SETTLING_MS);
+  }
+
   /** Who holds fewer duties comes first, so that no process holds all of them while others could. */
   private delayMs(duty: Duty): number {
     const leader = this.deps.leader();
@@ -214,9 +227,7 @@
   /** Work waits for what the leader orders: without the way to another process and back it is done sooner. */
   private handToLeader(now: number): void {
     const leader = this.deps.leader();
-    if (!leader) return;
-    if (this.seenLeader?.stamp !== leader.fence.stamp)
-      this.seenLeader = { stamp: leader.fence.stamp, sinceMs: now };
+    if (!leader || !this.seenLeader) return;
     if (leader.member === this.deps.member || !leader.delegates) return;
     if (now - this.seenLeader.sinceMs < HAND_TO_LEADER_MS) return;
     for (const duty of BEST_WITH_LEADER)
--- a/src/simulation/loopback-cluster.ts
+++ b/src/simulation/loopback-cluster.ts
@@ -28,6 +28,8 @@
   nodeFlags?: (member: string) => string[];
   environment?: (member: string) => Record<string, string>;
   random: () => number;
+  /** Second byte of the workers' loopback addresses: another one for each cluster of a process. */
+  workerNetwork?: number;
 }
 
 /** The addresses of one controller; it has its own ones of the outside services, which thus know who calls. */
@@ -137,7 +139,7 @@
     this.booted++;
     const { reportS, leaseS } = this.options.timing;
     const controllers = [...this.addresses].map(([member, { user }]) => ({ member, address: user }));
-    const address = `127.1.${this.booted >> 8}.${this.booted & 255}:9000`;
+    const address = `127.${this.options.workerNetwork ?? 1}.${this.booted >> 8}.${this.booted & 255}:9000`;
     const timing = { reportS, leaseS, fetchS: 1 };
     const { network, rules, finished } = this;
     const { random } = this.options;
