Duties: parts that fail are built anew; periodic actors

Need: a part that failed on a fault of the program stayed ended while its process went on holding the duties. Three actors had the same timer.

Change: PeriodicActor in packages/runtime; Duties builds all parts anew a second after one failed, with another session.

--- a/packages/duties/src/constants.ts
+++ b/packages/duties/src/constants.ts
@@ -56,3 +56,5 @@
 export const RETURN_KEEP_MS = 120_000;
 /** s: of its part of the cloud's rate that a duty may use at once (the protocol permits two seconds' worth). */
 export const CLOUD_BURST_S = 2;
+/** ms: before the parts of a process begin anew after one of them failed; the cause may still be there. */
+export const REBUILD_MS = 1_000;
--- a/packages/duties/src/duties.ts
+++ b/packages/duties/src/duties.ts
@@ -1,5 +1,6 @@
 import type { Logger } from 'pino';
 import type { Clock } from '@pumicehinge/runtime';
+import { REBUILD_MS } from './constants.js';
 import { DutyLeases, type DutyGrant } from './duty-leases.js';
 import { OrderBook, type OrderBookDeps } from './order-book.js';
 import { OrderExecutor } from './order-executor.js';
@@ -23,52 +24,41 @@
   log: Logger;
 }
 
+/** The parts that share what this process holds; one that fails takes the others with it. */
+interface Parts {
+  leases: DutyLeases;
+  executors: OrderExecutor[];
+  cleanup: StateCleanup;
+}
+
 /** The duties in one controller: it becomes a candidate for those that are free, and carries out those that it holds. */
 export class Duties {
   private readonly index: OrderIndex;
-  private readonly leases: DutyLeases;
-  private readonly executors: OrderExecutor[];
-  private readonly cleanup: StateCleanup;
+  private parts: Parts;
 
   constructor(private readonly deps: DutiesDeps) {
-    const { member, store, leader, clock, random, log } = deps;
-    this.index = new OrderIndex(store, log);
-    const { index } = this;
-    this.leases = new DutyLeases({ member, store, leader, clock, random, log });
-    const { leases } = this;
-    const orderDuties = DUTIES.filter((duty) => duty !== 'cleanup');
-    this.executors = orderDuties.map(
-      (duty) =>
-        new OrderExecutor({
-          ...{ duty, leases, index, store, leader, clock, log },
-          cloud: deps.cloud,
-          cloudRps: deps.cloudRps[duty],
-        }),
-    );
-    const { removable, txnOps } = deps;
-    this.cleanup = new StateCleanup({ leases, index, store, leader, removable, txnOps, clock, log });
+    this.index = new OrderIndex(deps.store, deps.log);
+    this.parts = this.build();
   }
 
   start(): void {
-    this.leases.start();
-    for (const executor of this.executors) executor.start();
-    this.cleanup.start();
+    const { leases, executors, cleanup } = this.parts;
+    for (const part of [leases, ...executors, cleanup]) part.start();
   }
 
   stop(): void {
-    this.leases.stop();
-    for (const executor of this.executors) executor.stop();
-    this.cleanup.stop();
+    const { leases, executors, cleanup } = this.parts;
+    for (const part of [leases, ...executors, cleanup]) part.stop();
   }
 
   /** The duties that this process holds, as far as it knows. */
   held(): DutyGrant[] {
-    return DUTIES.map((duty) => this.leases.grantOf(duty)).filter((grant) => grant !== undefined);
+    return DUTIES.map((duty) => this.parts.leases.grantOf(duty)).filter((grant) => grant !== undefined);
   }
 
   /** Leaves a duty to the others. */
   resign(duty: Duty, reason: string): void {
-    this.leases.resign(duty, reason);
+    this.parts.leases.resign(duty, reason);
   }
 
   /** The orders of a term that this process leads. */
@@ -77,7 +67,27 @@
     onFailure: (error: unknown) => void,
   ): OrderBook {
     const { store, clock, log } = this.deps;
-    const { index, leases } = this;
+    const { index } = this;
+    const leases = { grantOf: (duty: Duty) => this.parts.leases.grantOf(duty) };
     return new OrderBook({ ...book, index, leases, store, clock, log }, onFailure);
   }
+
+  private build(): Parts {
+    const { member, store, leader, removable, txnOps, cloud, cloudRps, clock, random, log } = this.deps;
+    const { index } = this;
+    const onFailure = (): void => this.rebuild();
+    const leases = new DutyLeases({ member, store, leader, clock, random, log }, onFailure);
+    const common = { leases, index, store, leader, clock, log };
+    const executors = DUTIES.filter((duty) => duty !== 'cleanup').map(
+      (duty) => new OrderExecutor({ ...common, duty, cloud, cloudRps: cloudRps[duty] }, onFailure),
+    );
+    return { leases, executors, cleanup: new StateCleanup({ ...common, removable, txnOps }, onFailure) };
+  }
+
+  /** All begin anew with another session: what the former one held is found in the state service, and freed. */
+  private rebuild(): void {
+    this.stop();
+    this.parts = this.build();
+    this.deps.clock.after(REBUILD_MS, () => this.start());
+  }
 }
--- a/packages/duties/src/duty-leases.ts
+++ b/packages/duties/src/duty-leases.ts
@@ -1,5 +1,5 @@
 import type { Logger } from 'pino';
-import { Actor, type Clock } from '@pumicehinge/runtime';
+import { PeriodicActor, type Tick, type Clock } from '@pumicehinge/runtime';
 import {
   CANDIDACY_JITTER_MS,
   CANDIDACY_RETRY_MS,
@@ -66,7 +66,6 @@
 const BEST_WITH_LEADER: readonly Duty[] = ['rent'];
 
 type Message =
-  | { kind: 'tick' }
   | { kind: 'granted'; renewal: Renewal; authority: LeaseAuthority; lease: Revision | undefined }
   /** `alive` undefined: not known. */
   | { kind: 'renewed'; session: Session; renewal: Renewal; alive: boolean | undefined }
@@ -78,7 +77,7 @@
  * raises the token, in one conditional transaction. This process holds a duty exactly while the key names its session: so
  * an answer that was lost, or a transaction that was applied late, needs no care of its own.
  */
-export class DutyLeases extends Actor<Message> {
+export class DutyLeases extends PeriodicActor<Message> {
   private session: Session | undefined;
   private granting = false;
   private candidacy = false;
@@ -91,19 +90,12 @@
   private formerStamps: Map<Duty, Revision> | undefined;
   /** The leader last seen, and since when. */
   private seenLeader: { stamp: Revision; sinceMs: number } | undefined;
-  private cancelTick: () => void = () => undefined;
 
-  constructor(private readonly deps: DutyLeasesDeps) {
-    super(deps.log);
-  }
-
-  start(): void {
-    this.send({ kind: 'tick' });
-  }
-
-  override stop(): void {
-    super.stop();
-    this.cancelTick();
+  constructor(
+    private readonly deps: DutyLeasesDeps,
+    onFailure: (error: unknown) => void,
+  ) {
+    super(deps.clock, DUTY_TICK_MS, deps.log, onFailure);
   }
 
   /** The duty if this process holds it, as far as the copy of the state service says: writes under its fence are safe. */
@@ -126,10 +118,9 @@
     this.send({ kind: 'resign', duty, reason });
   }
 
-  protected receive(message: Message): void {
+  protected receive(message: Message | Tick): void {
     switch (message.kind) {
       case 'tick':
-        this.cancelTick = this.deps.clock.after(DUTY_TICK_MS, () => this.send({ kind: 'tick' }));
         return this.look();
       case 'granted':
         return this.onGranted(message);
--- a/packages/duties/src/order-executor.ts
+++ b/packages/duties/src/order-executor.ts
@@ -1,5 +1,5 @@
 import type { Logger } from 'pino';
-import { Actor, RateBudget, type Clock } from '@pumicehinge/runtime';
+import { PeriodicActor, type Tick, RateBudget, type Clock } from '@pumicehinge/runtime';
 import { CLOUD_BURST_S, CLOUD_SILENT_MS, DUTY_TICK_MS, ORDERS_IN_FLIGHT, RETRY_MS } from './constants.js';
 import type { DutyGrant, DutyLeases } from './duty-leases.js';
 import type { IndexedOrder, OrderIndex } from './order-index.js';
@@ -29,7 +29,6 @@
 type CallResult = RentResult | ReturnResult;
 
 type Message =
-  | { kind: 'tick' }
   | { kind: 'look' }
   | { kind: 'finished'; key: string }
   | { kind: 'read'; token: number; succeeded: boolean }
@@ -41,8 +40,9 @@
  * is carried out, under the duty's fence and the leader's; afterwards what came of it. A call that goes out late or twice
  * thus changes nothing: a rental has its own name for ever, and a machine that is to be given back is never used again.
  */
-export class OrderExecutor extends Actor<Message> {
+export class OrderExecutor extends PeriodicActor<Message> {
   private readonly budget: RateBudget;
+  private readonly endListening: () => void;
   /** Orders of which a write or a call is under way. */
   private readonly busy = new Set<string>();
   private readonly notBeforeMs = new Map<string, number>();
@@ -53,31 +53,28 @@
   private reading = false;
   /** Since when the cloud gives no answer at all, though it is asked. */
   private silentSinceMs = Infinity;
-  private cancelTick: () => void = () => undefined;
 
-  constructor(private readonly deps: OrderExecutorDeps) {
-    super(deps.log);
+  constructor(
+    private readonly deps: OrderExecutorDeps,
+    onFailure: (error: unknown) => void,
+  ) {
+    super(deps.clock, DUTY_TICK_MS, deps.log, onFailure);
     this.budget = new RateBudget(deps.clock, deps.cloudRps);
     this.budget.setRate(deps.cloudRps, CLOUD_BURST_S);
-    deps.index.onOrder(({ key, order }) => {
+    this.endListening = deps.index.onOrder(({ key, order }) => {
       if (order.duty !== deps.duty) return;
       this.send(order.state === 'done' ? { kind: 'finished', key } : { kind: 'look' });
     });
   }
 
-  start(): void {
-    this.send({ kind: 'tick' });
-  }
-
   override stop(): void {
     super.stop();
-    this.cancelTick();
+    this.endListening();
   }
 
-  protected receive(message: Message): void {
+  protected receive(message: Message | Tick): void {
     switch (message.kind) {
       case 'tick':
-        this.cancelTick = this.deps.clock.after(DUTY_TICK_MS, () => this.send({ kind: 'tick' }));
         break;
       case 'look':
         break;
--- a/packages/duties/src/state-cleanup.ts
+++ b/packages/duties/src/state-cleanup.ts
@@ -1,5 +1,5 @@
 import type { Logger } from 'pino';
-import { Actor, type Clock } from '@pumicehinge/runtime';
+import { PeriodicActor, type Tick, type Clock } from '@pumicehinge/runtime';
 import { CLEANUP_BATCH, CLEANUP_EVERY_MS, RENTAL_KEEP_MS, RETURN_KEEP_MS } from './constants.js';
 import type { DutyLeases } from './duty-leases.js';
 import type { OrderIndex } from './order-index.js';
@@ -26,37 +26,29 @@
   log: Logger;
 }
 
-type Message = { kind: 'tick' } | { kind: 'ended'; removed: number };
+type Message = { kind: 'ended'; removed: number };
 
 /**
  * Deletes orders that are over and other rows that nobody reads, a few at a time, while this process holds that duty.
  * Each delete stands under the duty's fence and the revision of its row, so one that comes late does nothing.
  */
-export class StateCleanup extends Actor<Message> {
+export class StateCleanup extends PeriodicActor<Message> {
   /** When each order was first seen to be over, on our own clock. */
   private readonly overSinceMs = new Map<string, number>();
   private removing = false;
-  private cancelTick: () => void = () => undefined;
 
-  constructor(private readonly deps: StateCleanupDeps) {
-    super(deps.log);
+  constructor(
+    private readonly deps: StateCleanupDeps,
+    onFailure: (error: unknown) => void,
+  ) {
+    super(deps.clock, CLEANUP_EVERY_MS, deps.log, onFailure);
   }
 
-  start(): void {
-    this.send({ kind: 'tick' });
-  }
-
-  override stop(): void {
-    super.stop();
-    this.cancelTick();
-  }
-
-  protected receive(message: Message): void {
+  protected receive(message: Message | Tick): void {
     if (message.kind === 'ended') {
       this.removing = false;
       return;
     }
-    this.cancelTick = this.deps.clock.after(CLEANUP_EVERY_MS, () => this.send({ kind: 'tick' }));
     this.removeSome();
   }
 
--- a/test/duties/cluster.ts
+++ b/test/duties/cluster.ts
@@ -150,6 +150,8 @@
   /** Whether the state service compares what the duties keep. */
   fenced = true;
   wanted = 4;
+  /** Called whenever a process looks who leads; may throw, as a fault of the program would. */
+  onLeaderView: (member: string) => void = () => undefined;
   private readonly handlers = new Map<string, SimHandler>();
   private readonly controllers = new Map<string, ModelController>();
   private leading: { leader: ModelLeader; term: number } | undefined;
@@ -191,7 +193,10 @@
       member,
       store: new ControllerDutyStore(mirror, new Writer(client, mirror, clock, silent), client),
       cloud: new CloudCalls(caller, 'cloud:1'),
-      leader: () => leaderView(mirror),
+      leader: () => {
+        this.onLeaderView(member);
+        return leaderView(mirror);
+      },
       removable: () => [],
       txnOps: LIMITS.txnOps,
       cloudRps: { rent: 4, return: 4, reclaim: 4 },
--- a/test/duties/hard-cases.test.ts
+++ b/test/duties/hard-cases.test.ts
@@ -416,6 +416,22 @@
   assert.deepEqual(new Set(one.log.holders()), new Set(['c0']));
 });
 
+test('a part that fails is built anew, and the duties go on', async () => {
+  const cluster = await settled(THREE);
+  const failing = holderOf(cluster, 'rent');
+  let failures = 0;
+  cluster.onLeaderView = (member) => {
+    if (member !== failing || failures >= 3) return;
+    failures++;
+    throw new Error('a fault of the program');
+  };
+  cluster.wanted = 3;
+  await pass(cluster, 25_000);
+  assert.equal(failures, 3);
+  assert.deepEqual(cluster.violations(), []);
+  assert.deepEqual(cluster.unfinished(), []);
+});
+
 test('two processes of one controller do not take duties from each other in turn', async () => {
   const cluster = await settled(THREE);
   cluster.start('c1');
