--- a/scripts/duties/pauses.ts
+++ b/scripts/duties/pauses.ts
@@ -18,7 +18,7 @@
 const TIMING = { reportS: 1, leaseS: 10, cancelS: 30, bootS: 1 };
 const MACHINES = 20;
 const SETTLE_MS = 6_000;
-const ARMED_MS = 8_000;
+const ARMED_MS = 5_000;
 /** Longer than the lease of the duties. */
 const PAUSE_MS = 5_000;
 const PAUSE_MORE_MS = 2_000;
