Duties: evidence; machines hang within their lease in the loopback measurement

Need: the measurement's machines hung for ever, so that its clusters ran out of machines, and the stand-in told of tasks on two machines where a hang outlasts a lease.

--- a/scripts/duties/pauses.ts
+++ b/scripts/duties/pauses.ts
@@ -24,7 +24,9 @@
 const PAUSE_MORE_MS = 2_000;
 const FOLLOWED_MS = 30_000;
 const REST_MS = 1_500;
-const HANG_EVERY_MS = 6_000;
+const HANG_EVERY_MS = 10_000;
+/** Within the lease of a worker: the stand-in of one that hangs for longer does not end its tasks. */
+const HANG_MS = 8_000;
 const BEYOND_LATEST_S = 90;
 
 /** When, and how, a holder fails. */
@@ -111,7 +113,11 @@
   private hangOne(): void {
     const up = [...this.cluster.cloud.hosts.values()].filter(({ worker }) => worker && !worker.hanging);
     const chosen = up[Math.floor(this.random() * up.length)];
-    if (chosen?.worker) chosen.worker.hanging = true;
+    const worker = chosen?.worker;
+    if (!worker) return;
+    worker.hanging = true;
+    // Most are taken back before that; none may hold its place in the cloud for ever.
+    systemClock.after(HANG_MS, () => (worker.hanging = false));
   }
 
   private async allDone(): Promise<void> {
