Loopback measurement counts from token to token

Need: a holder that was cut off may take its duty again itself, which the measurement took for nobody following.

--- a/scripts/duties/pauses.ts
+++ b/scripts/duties/pauses.ts
@@ -170,8 +170,9 @@
         fail(holder);
       });
     });
+    const token = this.log.tokenOf(duty) ?? Infinity;
     const fromMs = await failedMs;
-    const followedMs = await this.followed(duty, holder);
+    const followedMs = await this.followed(duty, token);
     if (followedMs === undefined) this.unfollowed.push(`${duty} after "${failure}"`);
     else this.histogram(failure).recordValue(Math.round(followedMs - fromMs));
     await sleep(Math.max(0, PAUSE_MS + PAUSE_MORE_MS + REST_MS - (systemClock.steadyMs() - fromMs)));
@@ -202,12 +203,11 @@
     return undefined;
   }
 
-  /** Steady ms at which another one holds the duty. */
-  private async followed(duty: Duty, former: string): Promise<number | undefined> {
+  /** Steady ms at which the duty is held under a higher token; one that was cut off may take it again itself. */
+  private async followed(duty: Duty, former: number): Promise<number | undefined> {
     const giveUpMs = systemClock.steadyMs() + FOLLOWED_MS;
     while (systemClock.steadyMs() < giveUpMs) {
-      const holder = this.log.holderOf(duty);
-      if (holder !== undefined && holder !== former) return systemClock.steadyMs();
+      if ((this.log.tokenOf(duty) ?? -Infinity) > former) return systemClock.steadyMs();
       await sleep(10);
     }
     return undefined;
@@ -247,7 +247,7 @@
     return row(failure, all);
   });
   return [
-    '| failure of the holder | times | median ms | p99 ms | max ms until another one holds the duty |',
+    '| failure of the holder | times | median ms | p99 ms | max ms until the duty is held under a higher token |',
     '| --- | --- | --- | --- | --- |',
     ...rows,
     '',
--- a/src/simulation/duty-log.ts
+++ b/src/simulation/duty-log.ts
@@ -70,6 +70,11 @@
     return decodeHolder(this.state.peek(holderKey(duty)))?.member;
   }
 
+  /** Token of whoever holds the duty. */
+  tokenOf(duty: Duty): number | undefined {
+    return decodeHolder(this.state.peek(holderKey(duty)))?.token;
+  }
+
   holders(): (string | undefined)[] {
     return DUTIES.map((duty) => this.holderOf(duty));
   }
