--- a/scripts/duties/pauses.ts
+++ b/scripts/duties/pauses.ts
@@ -72,8 +72,6 @@
     this.cluster = new LoopbackCluster({
       ...{ controllers, machines: MACHINES, timing: TIMING, folder, random: this.random },
       operator: { idleKeepS: 1, duties: { enabled: true } },
-      // Both ways may be tried side by side.
-      workerNetwork: (isUnfenced ? 101 : 1) + index,
     });
     this.log = new DutyLog(this.cluster.state, this.cluster.cloud, () => systemClock.steadyMs());
   }
--- a/src/simulation/loopback-network.ts
+++ b/src/simulation/loopback-network.ts
@@ -16,6 +16,9 @@
   },
 };
 
+/** Port at which the workers of a cluster take commands, each on an address of its own. */
+export const WORKER_PORT = 9000;
+
 /** A stand-in that refuses connections would be measured as our failure. */
 const MAX_STAND_IN_CONNECTIONS = 50_000;
 
@@ -57,6 +60,22 @@
     return caller;
   }
 
+  /** A part of the loopback addresses, for the workers of one cluster: 127.N.x.y, with N that no other cluster has. */
+  async ownPart(): Promise<number> {
+    for (let part = 1; part < 255; part++) {
+      const lock = createServer();
+      const isFree = await new Promise<boolean>((resolve) => {
+        lock.once('error', () => resolve(false));
+        lock.listen(WORKER_PORT, `127.${part}.255.254`, () => resolve(true));
+      });
+      if (!isFree) continue;
+      // Held until the end: it keeps others off.
+      this.servers.push(lock);
+      return part;
+    }
+    throw new Error('no part of the loopback addresses is free');
+  }
+
   close(): void {
     this.closed = true;
     for (const server of this.servers) server.close();
