--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -148,7 +148,7 @@
   /** Submits a job as a user does: the same request again after 1 s until it is accepted or 60 s are over. */
   async submit(job, members = this.members.map(({ member }) => member)) {
     this.ledger.jobs.set(job.uid, job);
-    const { runS: _, ...body } = job;
+    const { runS: _run, mayEnd: _end, ...body } = job;
     const deadline = now() + 60_000;
     for (let i = 0; now() < deadline; i++) {
       const answer = await this.ask(members[i % members.length], 'POST', '/submissions', body);
@@ -238,6 +238,14 @@
     cluster.record('120 s are nearly over');
     void cluster.stop().then(() => process.exit(2));
   }, 117_000);
+  // Whatever happens, no process stays behind.
+  process.on('exit', () => {
+    for (const child of cluster.processes.values()) if (child.exitCode === null && child.signalCode === null) child.kill('SIGKILL');
+  });
+  process.on('uncaughtException', (error) => {
+    cluster.record(`RESULT: could not run: ${error.stack}`);
+    void cluster.stop().finally(() => process.exit(2));
+  });
   for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => void cluster.stop().then(() => process.exit(2)));
   try {
     cluster.record(`TROUBLE=${hasTrouble ? 1 : 0}`);
--- a/review/lib/standins.mjs
+++ b/review/lib/standins.mjs
@@ -566,7 +566,10 @@
     this.changed();
     if (this.ledger.finished.has(piece.name)) return this.exit(piece, 'done');
     if (job.shape === 'standing') return;
-    piece.timer = setTimeout(() => {
+    // `mayEnd` holds a long task until the script lets it end.
+    piece.timer = setTimeout(async () => {
+      await job.mayEnd;
+      if (!this.isAlive || piece.phase !== 'running' || this.pieces.get(`${piece.name}#${piece.attempt}`) !== piece) return;
       this.ledger.finished.add(piece.name);
       this.exit(piece, 'done');
     }, job.runS * 1000);
