Log what an expired node lease counts from, and responses of restarted workers

The log could not tell whether a task that was taken for lost had been started by the worker that the lease was counted from, or by a new worker on the same machine.

Change: 'node lease expired' tells the newest known message of the worker and the time since the last response to it. A response to a direct call that is older than what was known when the call began is logged: only a new worker sends it. Nothing is decided from it yet.

--- a/src/cluster/lease-rules.ts
+++ b/src/cluster/lease-rules.ts
@@ -29,6 +29,14 @@
   return message.sequence > newestSeen.sequence;
 }
 
+/**
+ * Whether the response to a direct call proves that a new worker has begun on the machine. The worker that was known
+ * when the call began gives each later message a larger number, and a response is made after its call began.
+ */
+export function provesWorkerRestart(response: HeartbeatVersion, knownAtCall: HeartbeatVersion): boolean {
+  return !isNewerHeartbeat(response, knownAtCall);
+}
+
 /** What the leader knows about the node that sent a heartbeat. */
 export interface KnownNode {
   /** Whether the node was deleted recently. */
--- a/src/leader/term-reconciliation.ts
+++ b/src/leader/term-reconciliation.ts
@@ -139,10 +139,16 @@
     this.pendingLeaseChecks.delete(node);
     if (!isConfirmed || this.isLeaseDelegated(node) || node.leaseExpiryMs !== leaseExpiryMs) return;
     // No controller answered the node for the duration of a lease, so its worker has killed all tasks.
-    if (node.attempts.size > 0) this.dependencies.log.info({ node: node.name }, 'node lease expired');
+    if (node.attempts.size > 0) this.logLeaseExpiry(node);
     this.dependencies.clusterState.fenceIncarnation(node);
     node.expireLease();
     this.markReconciled(node);
     this.dependencies.requestSchedulingCycle();
   }
+
+  /** Logs what the expired lease was counted from: the newest message of the worker, and the last response to it. */
+  private logLeaseExpiry({ name, incarnation, sequence, lastResponseMs }: Node): void {
+    const sinceResponseMs = Math.round(this.dependencies.nowMs() - lastResponseMs);
+    this.dependencies.log.info({ node: name, incarnation, sequence, sinceResponseMs }, 'node lease expired');
+  }
 }
--- a/src/workers/command-dispatcher.ts
+++ b/src/workers/command-dispatcher.ts
@@ -11,6 +11,7 @@
   type ClusterState,
   type Node,
 } from '../cluster/cluster-state.js';
+import { provesWorkerRestart, type HeartbeatVersion } from '../cluster/lease-rules.js';
 import { needsCommands, generatePendingCommands, type PendingCommand } from '../cluster/pending-commands.js';
 import type { Heartbeat, WorkerCommand } from '../cluster/worker-messages.js';
 import {
@@ -43,6 +44,8 @@
   readonly node: Node;
   /** The attempts that the call was meant to start. */
   readonly attemptsToStart: readonly Attempt[];
+  /** The newest message of the worker that was known when the call began. */
+  readonly knownAtCall: HeartbeatVersion;
   readonly outcome: CommandCallOutcome;
 }
 
@@ -128,7 +131,7 @@
    * Applies the result of a direct call to the attempts that it was meant to start, and the worker's response to the
    * node.
    */
-  handleCallResult({ node, attemptsToStart, outcome }: CommandCallResult): void {
+  handleCallResult({ node, attemptsToStart, knownAtCall, outcome }: CommandCallResult): void {
     this.nodesBeingCalled.delete(node);
     const executionStatus = determineExecutionStatus(outcome);
     for (const attempt of attemptsToStart) this.endDirectStart(attempt, executionStatus);
@@ -137,7 +140,9 @@
     // The node may have been deleted in the meantime, or deleted and added again.
     if (this.dependencies.clusterState.nodes.get(node.name) !== node) return;
     const heartbeat = parseHeartbeat(outcome.body);
-    if (heartbeat) this.dependencies.handleResponse(node, heartbeat);
+    if (!heartbeat) return;
+    if (provesWorkerRestart(heartbeat, knownAtCall)) this.logRestart(node, knownAtCall, heartbeat);
+    this.dependencies.handleResponse(node, heartbeat);
   }
 
   /**
@@ -182,19 +187,29 @@
     attemptsToStart: readonly Attempt[],
   ): void {
     const { httpClient, term, deliverCallResult } = this.dependencies;
+    const knownAtCall = { incarnation: node.incarnation, sequence: node.sequence };
+    const deliver = (outcome: CommandCallOutcome): void =>
+      deliverCallResult({ node, attemptsToStart, knownAtCall, outcome });
     const body = formatJson(encodeCommands(term.fencingToken, commands, node.incarnation));
     httpClient.call(node.address, 'POST', COMMANDS_PATH, body, COMMAND_CALL_TIMEOUT_MS).then(
       (response) => {
-        const outcome = { kind: 'response', status: response.status, body: response.body } as const;
-        deliverCallResult({ node, attemptsToStart, outcome });
+        deliver({ kind: 'response', status: response.status, body: response.body });
       },
       (error: unknown) => {
         const failure = error instanceof HttpCallError ? error.failure : 'unclear';
-        deliverCallResult({ node, attemptsToStart, outcome: { kind: 'noResponse', failure } });
+        deliver({ kind: 'noResponse', failure });
       },
     );
   }
 
+  private logRestart(node: Node, known: HeartbeatVersion, response: HeartbeatVersion): void {
+    const { incarnation, sequence } = response;
+    this.dependencies.log.info(
+      { node: node.name, known, response: { incarnation, sequence } },
+      'worker restarted according to its response to a command',
+    );
+  }
+
   private prepareDirectCall(node: Node, nowMs: number): DirectCall {
     const commands: WorkerCommand[] = [];
     const attemptsToStart: Attempt[] = [];
