Count leases from direct calls too: a new worker on the machine executes them

Cause: the leader counted a node's lease only from its responses to heartbeats. A new worker begins with incarnation 1 again, so a direct call meant for the former one is executed; its lease starts with the worker, up to a heartbeat interval after the last response to the former one. The leader released the task that much too early.

Change: a direct call that may have started a task extends the lease from its end, as the worker that executes it accepted the connection, so it began before. A lost call counts the leases of all incarnations up to its own. The outcome of a call moved into a module of its own (no change). A simulated worker loses its connections when its machine restarts, as a new process does.

--- a/src/cluster/lease-rules.ts
+++ b/src/cluster/lease-rules.ts
@@ -15,6 +15,30 @@
   return responseMs + leaseS * 1000 * (1 + MAX_CLOCK_DRIFT_RATIO) + LEASE_EXPIRY_MARGIN_MS;
 }
 
+/** A direct call that carried start commands and has ended. */
+export interface EndedDirectCall {
+  /** The leader's steady time in ms at which the call ended. */
+  readonly endMs: number;
+  /** The incarnation that the commands were meant for. */
+  readonly incarnation: WireInt;
+  /** Whether a response proves that the commands were executed before the call ended. */
+  readonly isExecuted: boolean;
+}
+
+/**
+ * Returns the leader's steady time in ms at which the tasks that a direct call may have started have certainly ended,
+ * unless the lease of their worker is renewed.
+ *
+ * The last response to a heartbeat does not bound the lease of the worker that executes a direct call: if the machine
+ * restarted, a new worker executes it, whose lease started with the worker. That worker accepted the connection, so it
+ * started before the call ended. Commands that were not executed by then may still be executed in the new worker's
+ * incarnation of the same number, before which the leases of its earlier incarnations have to expire.
+ */
+export function computeDirectStartExpiryMs(call: EndedDirectCall, leaseS: number): number {
+  const leaseCount = call.isExecuted ? 1 : Math.max(1, Number(call.incarnation));
+  return computeLeaseExpiryMs(call.endMs, leaseCount * leaseS);
+}
+
 /** The position of a worker's message in the order of all its messages. */
 export interface HeartbeatVersion {
   /** Number that grows each time the worker's lease expires. A restarted worker counts from the start again. */
--- a/src/leader/cluster-components.ts
+++ b/src/leader/cluster-components.ts
@@ -108,11 +108,13 @@
   private createCommandDispatcher(
     handleCommandResponse: ClusterComponentsOptions['handleCommandResponse'],
   ): CommandDispatcher {
-    const { term, workerHttpClient, log } = this.dependencies;
+    const { settings, term, workerHttpClient, log } = this.dependencies;
     return new CommandDispatcher({
       term,
       clusterState: this.clusterState,
       httpClient: workerHttpClient,
+      leaseS: settings.leaseDurationS,
+      nowMs: this.nowMs,
       log,
       mayStart: (attempt) => this.taskLifecycle.mayStart(attempt),
       deliverCallResult: (result) => this.mailbox.send({ kind: 'commandCallEnded', result }),
--- a/src/leader/leader-message.ts
+++ b/src/leader/leader-message.ts
@@ -2,7 +2,7 @@
 import type { CloudEvent } from '../autoscaler/cloud-client.js';
 import type { NodeGroupWriteResult } from '../cluster/node-records.js';
 import type { KeyChange } from '../state/store-client.js';
-import type { CommandCallResult } from '../workers/command-dispatcher.js';
+import type { CommandCallResult } from '../workers/command-call.js';
 import type { ReceivedHeartbeat } from '../workers/heartbeat-handler.js';
 import type { JobWriteResult } from './job-store.js';
 import type { LeaseCheckResult } from './term-reconciliation.js';
--- a/src/simulation/loopback-cluster.ts
+++ b/src/simulation/loopback-cluster.ts
@@ -191,6 +191,8 @@
       attach: (host: string, address: string, handler: SimulatedHandler) =>
         void network.attach(host, address, handler),
       createHttpClient: () => network.createHttpClient(),
+      // Nothing is held back on loopback.
+      dropHeldRequests: () => undefined,
     };
     return new SimulatedWorker(
       { ...machine, address },
--- a/src/simulation/network.ts
+++ b/src/simulation/network.ts
@@ -68,6 +68,15 @@
     this.addPartition(b, a);
   }
 
+  /**
+   * Drops what partitions hold back on its way to the host. The host has restarted, and a new process has none of the
+   * connections of the former one.
+   */
+  dropHeldRequests(host: string): void {
+    for (const partition of this.partitions.values())
+      if (partition.to === host) partition.heldMessages.length = 0;
+  }
+
   /** Drops everything that is sent to the host, responses included. The host's own messages still arrive. */
   dropInbound(host: string): void {
     this.hostsWithoutInbound.add(host);
--- a/src/simulation/simulated-worker.ts
+++ b/src/simulation/simulated-worker.ts
@@ -8,6 +8,9 @@
 import type { SimulatedNetwork } from './network.js';
 import type { RuleChecker } from './rule-checker.js';
 
+/** Longest time from the restart of a machine until its new worker reports, in milliseconds. */
+const MAX_FIRST_REPORT_DELAY_MS = 300;
+
 /** One attempt of a task on this worker. */
 interface Task {
   uid: string;
@@ -46,6 +49,8 @@
   private controllerIndex: number;
   private isReporting = false;
   private isAlive = true;
+  /** Counts the workers that have run on this machine. What an earlier one waited for never reaches a later one. */
+  private workerNumber = 1;
   /** While true, the machine neither runs tasks nor handles messages, and its clock runs on. */
   isHanging = false;
   private readonly httpClient: HttpClient;
@@ -55,7 +60,7 @@
     private readonly controllers: { member: string; address: string }[],
     private readonly timing: { reportS: number; leaseS: number; fetchS: number },
     private readonly clock: Clock,
-    network: Pick<SimulatedNetwork, 'attach' | 'createHttpClient'>,
+    private readonly network: Pick<SimulatedNetwork, 'attach' | 'createHttpClient' | 'dropHeldRequests'>,
     private readonly rules: RuleChecker,
     private readonly random: () => number,
     /** Tasks that finished on any machine. Another attempt at one of them takes only 10 ms. */
@@ -84,15 +89,25 @@
   }
 
   /**
-   * Restarts the machine without delay. All tasks end, and the session number, the report number and the token of the
-   * worker start from their initial values again.
+   * Restarts the machine without delay. All tasks end, and a new worker begins: its session number, its report number
+   * and its token have their initial values, and it has none of the former worker's connections.
    */
   restart(): void {
     this.killTasks();
+    this.workerNumber++;
     this.session = 1;
     this.reportNumber = 0;
     this.token = 0;
+    this.isReporting = false;
+    this.isHanging = false;
     this.leaseRenewedMs = this.clock.steadyMs();
+    this.network.dropHeldRequests(this.machine.name);
+    this.scheduleReport(this.random() * MAX_FIRST_REPORT_DELAY_MS);
+  }
+
+  /** Milliseconds since the worker sent the last report that was answered, or since it began. */
+  get leaseAgeMs(): number {
+    return this.clock.steadyMs() - this.leaseRenewedMs;
   }
 
   /** Number of the current session. It increases each time the lease expires, and a restart resets it. */
@@ -141,8 +156,9 @@
   }
 
   private scheduleReport(delayMs: number): void {
+    const { workerNumber } = this;
     this.clock.setTimer(delayMs, () => {
-      if (!this.isAlive) return;
+      if (!this.isAlive || workerNumber !== this.workerNumber) return;
       if (this.isHanging) return this.scheduleReport(200);
       void this.sendReport();
     });
@@ -152,7 +168,7 @@
     if (this.isReporting) return;
     this.isReporting = true;
     const sentMs = this.clock.steadyMs();
-    const session = this.session;
+    const { session, workerNumber } = this;
     const controller = this.controllers[this.controllerIndex]!;
     let response: HttpResponse | undefined;
     try {
@@ -166,8 +182,8 @@
     } catch {
       response = undefined;
     }
+    if (!this.isAlive || workerNumber !== this.workerNumber) return;
     this.isReporting = false;
-    if (!this.isAlive) return;
     if (response?.status === 200) {
       const body = JSON.parse(response.body) as { baton: number; orders: Command[] };
       if (!this.isHanging && body.baton >= this.token && session === this.session) {
@@ -193,10 +209,11 @@
 
   private async handleRequest(target: string, body: string | undefined): Promise<HttpResponse | undefined> {
     if (!this.isAlive) return undefined;
+    const { workerNumber } = this;
     // Requests that reach a hanging machine are handled once it runs again.
     while (this.isHanging) await new Promise<void>((resolve) => this.clock.setTimer(100, resolve));
-    // The machine may have been terminated in the meantime.
-    if (!this.isAlive) return undefined;
+    // The machine may have been terminated or restarted in the meantime.
+    if (!this.isAlive || workerNumber !== this.workerNumber) return undefined;
     if (target === '/show') return { status: 200, body: JSON.stringify(this.buildReport()) };
     const { baton, tenure, orders } = JSON.parse(body ?? '') as {
       baton: number;
--- a/src/workers/command-dispatcher.ts
+++ b/src/workers/command-dispatcher.ts
@@ -11,7 +11,11 @@
   type ClusterState,
   type Node,
 } from '../cluster/cluster-state.js';
-import { provesWorkerRestart, type HeartbeatVersion } from '../cluster/lease-rules.js';
+import {
+  computeDirectStartExpiryMs,
+  provesWorkerRestart,
+  type HeartbeatVersion,
+} from '../cluster/lease-rules.js';
 import { needsCommands, generatePendingCommands, type PendingCommand } from '../cluster/pending-commands.js';
 import type { Heartbeat, WorkerCommand } from '../cluster/worker-messages.js';
 import {
@@ -21,40 +25,29 @@
   STOP_RESEND_INTERVAL_MS,
 } from '../constants.js';
 import type { LeadershipTerm } from '../election/leadership-term.js';
-import { HttpCallError, type HttpCallFailure, type HttpClient } from '../http/message.js';
+import { HttpCallError, type HttpClient } from '../http/message.js';
 import { formatJson, type WireInt } from '../wire/json.js';
-import { encodeCommands, parseHeartbeat } from './codec.js';
+import { encodeCommands } from './codec.js';
+import {
+  determineExecutionStatus,
+  parseCommandResponse,
+  type CommandCallOutcome,
+  type CommandCallResult,
+  type ExecutionStatus,
+} from './command-call.js';
 
 const COMMANDS_PATH = '/orders';
 
-/** HTTP status of a direct call whose commands the worker executed. The response body is a heartbeat. */
-const STATUS_EXECUTED = 200;
-/** HTTP status of a direct call that the worker could not decode. */
-const STATUS_MALFORMED = 400;
-/** HTTP status of a direct call for an older term or another incarnation. The response body is a heartbeat. */
-const STATUS_FENCED = 409;
-
-/** How a direct call ended. Without a response, `failure` tells whether the commands may still be executed. */
-export type CommandCallOutcome =
-  | { readonly kind: 'response'; readonly status: number; readonly body: string }
-  | { readonly kind: 'noResponse'; readonly failure: HttpCallFailure };
-
-/** The result of a direct call with commands to a worker. */
-export interface CommandCallResult {
-  readonly node: Node;
-  /** The attempts that the call was meant to start. */
-  readonly attemptsToStart: readonly Attempt[];
-  /** The newest message of the worker that was known when the call began. */
-  readonly knownAtCall: HeartbeatVersion;
-  readonly outcome: CommandCallOutcome;
-}
-
 /** Dependencies of CommandDispatcher. */
 export interface CommandDispatcherDependencies {
   readonly term: LeadershipTerm;
   readonly clusterState: ClusterState;
   /** Sends the direct calls to workers. */
   readonly httpClient: HttpClient;
+  /** Duration of a worker's lease in seconds. */
+  readonly leaseS: number;
+  /** The current steady time in milliseconds. */
+  readonly nowMs: () => number;
   readonly log: Logger;
   /** Whether a planned attempt may be started now. This is checked right before each start command. */
   readonly mayStart: (attempt: Attempt) => boolean;
@@ -70,9 +63,6 @@
   readonly attemptsToStart: readonly Attempt[];
 }
 
-/** Whether the commands of a direct call were executed, as far as its outcome proves it. */
-type ExecutionStatus = 'executed' | 'notExecuted' | 'unknown';
-
 /**
  * Sends each command until a heartbeat shows its effect. A start command that was sent by a direct call without a
  * response keeps its resources allocated, because it may be executed for as long as the worker's incarnation lasts.
@@ -134,13 +124,11 @@
   handleCallResult({ node, attemptsToStart, knownAtCall, outcome }: CommandCallResult): void {
     this.nodesBeingCalled.delete(node);
     const executionStatus = determineExecutionStatus(outcome);
+    if (attemptsToStart.length > 0) this.extendLease(node, knownAtCall, executionStatus);
     for (const attempt of attemptsToStart) this.endDirectStart(attempt, executionStatus);
-    if (outcome.kind !== 'response') return;
-    if (outcome.status !== STATUS_EXECUTED && outcome.status !== STATUS_FENCED) return;
+    const heartbeat = parseCommandResponse(outcome);
     // The node may have been deleted in the meantime, or deleted and added again.
-    if (this.dependencies.clusterState.nodes.get(node.name) !== node) return;
-    const heartbeat = parseHeartbeat(outcome.body);
-    if (!heartbeat) return;
+    if (!heartbeat || this.dependencies.clusterState.nodes.get(node.name) !== node) return;
     if (provesWorkerRestart(heartbeat, knownAtCall)) this.logRestart(node, knownAtCall, heartbeat);
     this.dependencies.handleResponse(node, heartbeat);
   }
@@ -261,6 +249,14 @@
     );
   }
 
+  /** Extends the lease of a node on which a direct call that has just ended may have started tasks. */
+  private extendLease(node: Node, { incarnation }: HeartbeatVersion, executionStatus: ExecutionStatus): void {
+    if (executionStatus === 'notExecuted') return;
+    const { nowMs, leaseS } = this.dependencies;
+    const call = { endMs: nowMs(), incarnation, isExecuted: executionStatus === 'executed' };
+    node.extendLease(computeDirectStartExpiryMs(call, leaseS));
+  }
+
   private endDirectStart(attempt: Attempt, executionStatus: ExecutionStatus): void {
     attempt.endDirectStart(executionStatus === 'unknown' ? 'lost' : 'none');
     if (executionStatus === 'unknown') this.lostStarts.add(attempt);
@@ -268,19 +264,6 @@
   }
 }
 
-function determineExecutionStatus(outcome: CommandCallOutcome): ExecutionStatus {
-  if (outcome.kind === 'noResponse') return outcome.failure === 'unsent' ? 'notExecuted' : 'unknown';
-  switch (outcome.status) {
-    case STATUS_EXECUTED:
-      return 'executed';
-    case STATUS_FENCED:
-    case STATUS_MALFORMED:
-      return 'notExecuted';
-    default:
-      return 'unknown';
-  }
-}
-
 /** Whether the node still holds resources for the attempt. */
 function isAllocated(attempt: Attempt): boolean {
   const { node, jobUid, taskIndex, number, state } = attempt;
--- a/test/workers/command-dispatcher.test.ts
+++ b/test/workers/command-dispatcher.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { pino } from 'pino';
 import { ClusterState, type Attempt } from '../../src/cluster/cluster-state.js';
+import { computeLeaseExpiryMs } from '../../src/cluster/lease-rules.js';
 import { LOST_START_FENCING_DELAY_MS, STOP_RESEND_INTERVAL_MS } from '../../src/constants.js';
 import { LeadershipAuthority } from '../../src/election/leadership-authority.js';
 import { HttpCallError, type HttpResponse } from '../../src/http/message.js';
@@ -10,6 +11,9 @@
 import { createJobSpec } from '../fixtures.js';
 
 const TERM_MS = 600_000;
+const LEASE_S = 10;
+/** Steady time at which each direct call ends. */
+const CALL_END_MS = 5_000;
 
 const HEARTBEAT =
   '{"hearth":"vm-1","address":"a:1","build":"small","yard":"a","loaner":false,"tenure":1,"tick":2,"baton":3,' +
@@ -50,6 +54,8 @@
         return respond();
       },
     },
+    leaseS: LEASE_S,
+    nowMs: () => CALL_END_MS,
     log: pino({ level: 'silent' }),
     mayStart: () => true,
     deliverCallResult: (result) => dispatcher.handleCallResult(result),
@@ -90,6 +96,31 @@
   }
 });
 
+// Guards against tasks that run twice (rule `ran_twice`) after a machine restarts: the leader counted the lease from its
+// last response to the former worker, while the lease of the new worker, which executed a direct start, began later.
+test('the lease of a node lasts at least a whole lease after a direct call that may have started a task', async () => {
+  const respondWith = (status: number) => () => Promise.resolve({ status, body: HEARTBEAT });
+  const timeOut = () => Promise.reject(new HttpCallError('unclear', 'timeout'));
+  const refuse = () => Promise.reject(new HttpCallError('unsent', 'refused'));
+  // Each case has the worker's response to the call, its incarnation, and the leases that may follow the call.
+  const cases: [name: string, respond: () => Promise<HttpResponse>, incarnation: number, leases: number][] = [
+    ['executed', respondWith(200), 1, 1],
+    ['executed in a later incarnation', respondWith(200), 3, 1],
+    ['lost', timeOut, 1, 1],
+    ['lost in a later incarnation, which a new worker reaches after two leases', timeOut, 3, 3],
+    ['unclear', respondWith(500), 1, 1],
+    ['fenced', respondWith(409), 1, 0],
+    ['refused', refuse, 1, 0],
+  ];
+  for (const [name, respond, incarnation, leases] of cases) {
+    const { node, sendPending } = setUp(respond);
+    node.recordStatus({ incarnation, sequence: 1, address: 'a:1', interruptionNoticeS: null }, 0);
+    await sendPending(10);
+    const expectedMs = leases === 0 ? -Infinity : computeLeaseExpiryMs(CALL_END_MS, leases * LEASE_S);
+    assert.equal(node.leaseExpiryMs, expectedMs, name);
+  }
+});
+
 test('a lost start is not repeated by a direct call, and is fenced by a new term once its job has ended', async () => {
   const { clusterState, job, attempt, node, dispatcher, bodies, sendPending } = setUp(() =>
     Promise.reject(new HttpCallError('unclear', 'timeout')),
