Simulation: options and settings of a deployment in a module of their own

Change: the options, constants and settings moved to deployment-options.ts; the time that an image takes to fetch is an option (a cached image takes none). No other change of behaviour.

--- a/src/simulation/simulated-deployment.ts
+++ b/src/simulation/simulated-deployment.ts
@@ -1,120 +1,30 @@
+/** A deployment of controllers, simulated services, workers and users in one process on simulated time. */
 import { pino } from 'pino';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { Controller } from '../controller.js';
 import type { HttpResponse } from '../http/message.js';
-import type { Settings } from '../settings.js';
-import { divideSockets } from '../sizing.js';
 import { ProcessClock, SimulatedClock } from '@pumicehinge/runtime/simulated-clock';
 import { SimulatedCloud } from './cloud.js';
+import {
+  CANCEL_S,
+  COMMAND_TRANSIT_S,
+  createSettings,
+  DEFAULT_FETCH_S,
+  LEASE_S,
+  listMembers,
+  MACHINE_TYPE,
+  REPORT_S,
+  SMALL_DEPLOYMENT,
+  ZONES,
+  type DeploymentOptions,
+} from './deployment-options.js';
 import { SimulatedNetwork, SimulatedPeerNetwork } from './network.js';
 import { RuleChecker, type SimulatedJob } from './rule-checker.js';
 import { SimulatedStateService } from './state-service.js';
-import type { TrafficObserver } from './traffic-observer.js';
 import { SimulatedWorker } from './simulated-worker.js';
 
-const ZONES = ['east', 'west'];
-const REPORT_S = 1.5;
-const LEASE_S = 14;
-const CANCEL_S = 35;
-/**
- * Seconds after a confirmed cancellation during which an earlier start command may be in transit, or the image of its
- * task may be fetched.
- */
-const COMMAND_TRANSIT_S = 8;
-
-/** Options of a simulated deployment. */
-export interface DeploymentOptions {
-  controllers: number;
-  /** The most machines that the cloud rents out at the same time. */
-  machineCapacity: number;
-  /** Factor by which the CPU limits of a small deployment's teams are multiplied. */
-  cpuLimitScale: number;
-  /** Zones in which the cloud has machines. Defaults to all zones. */
-  machineZones?: string[];
-  /** Seconds that a machine takes to boot. Defaults to 8. */
-  bootS?: number;
-  /** Seconds between two reports of a worker. Defaults to the interval of a small deployment. */
-  reportS?: number;
-  /** Rate limits of the state service and the cloud. Default to those of a small deployment. */
-  rates?: { rps: number; writesPerS: number; cloudRps: number };
-  /**
-   * Controllers that take part in leased roles, and leave the work of a role to its holder when they lead. Defaults
-   * to none.
-   */
-  roleMembers?: readonly string[];
-  /** Limits of the state service that the settings announce. Default to those that the simulated service enforces. */
-  announcedLimits?: { valueBytes: number; maxTransactionOperations: number };
-  /** Creates an observer that receives every message. */
-  createObserver?: (clock: SimulatedClock) => TrafficObserver;
-}
-
-const MACHINE_TYPE = { sku: 'm4', cpus: 4, memGb: 16, bootS: 8, price: 0.2 };
-
-const SMALL_RATES = { rps: 200, writesPerS: 80, cloudRps: 6 };
-
-/** A deployment of three controllers and few machines. */
-export const SMALL_DEPLOYMENT: DeploymentOptions = { controllers: 3, machineCapacity: 24, cpuLimitScale: 1 };
-
-const listMembers = (options: DeploymentOptions): string[] =>
-  Array.from({ length: options.controllers }, (_, i) => `c${i}`);
-
-function createSettings(member: string, options: DeploymentOptions): Settings {
-  const members = listMembers(options);
-  const rates = options.rates ?? SMALL_RATES;
-  const getZone = (name: string): string => ZONES[members.indexOf(name) % 2]!;
-  return {
-    member,
-    zone: getZone(member),
-    publicAddress: `${member}:80`,
-    peerAddress: `${member}:81`,
-    peers: members
-      .filter((other) => other !== member)
-      .map((other) => ({
-        member: other,
-        zone: getZone(other),
-        address: `${other}:81`,
-      })),
-    cloudAddress: 'cloud:1',
-    stateStoreAddress: 'state:1',
-    controllerCount: options.controllers,
-    zones: ZONES,
-    teams: [
-      {
-        name: 'red',
-        guaranteedCpus: 8 * options.cpuLimitScale,
-        cpuLimit: 24 * options.cpuLimitScale,
-        guaranteedAccelerators: 0,
-        acceleratorLimit: 0,
-      },
-      {
-        name: 'blue',
-        guaranteedCpus: 16 * options.cpuLimitScale,
-        cpuLimit: 40 * options.cpuLimitScale,
-        guaranteedAccelerators: 0,
-        acceleratorLimit: 0,
-      },
-    ],
-    deadlineObjectives: [{ jobClass: 'batch', share: 0.9, deadlineFactor: 1 }],
-    startObjectives: [],
-    heartbeatIntervalS: options.reportS ?? REPORT_S,
-    leaseDurationS: LEASE_S,
-    maxCancellationS: CANCEL_S,
-    stateLimits: {
-      requestsPerSecond: rates.rps,
-      writesPerSecond: rates.writesPerS,
-      ...(options.announcedLimits ?? { valueBytes: 8192, maxTransactionOperations: 12 }),
-    },
-    cloudLimits: { rps: rates.cloudRps, maxListLagS: 0 },
-    socketLimits: divideSockets(900),
-    memoryBytes: 108 * 1024 * 1024,
-    operator: {
-      idleKeepS: 45,
-      useSpot: true,
-      duties: { enabled: options.roleMembers?.includes(member) ?? false },
-    },
-  };
-}
+export { SMALL_DEPLOYMENT, type DeploymentOptions } from './deployment-options.js';
 
 const DEFAULT_JOB: Omit<SimulatedJob, 'uid'> = {
   team: 'blue',
@@ -166,7 +76,11 @@
     this.rules = new RuleChecker(() => this.clock.steadyMs(), teamCpuLimits, CANCEL_S, COMMAND_TRANSIT_S);
     this.state = new SimulatedStateService(this.clock, this.random);
     const controllers = this.members.map((member) => ({ member, address: `${member}:80` }));
-    const timing = { reportS: this.options.reportS ?? REPORT_S, leaseS: LEASE_S, fetchS: 1 };
+    const timing = {
+      reportS: this.options.reportS ?? REPORT_S,
+      leaseS: LEASE_S,
+      fetchS: options.fetchS ?? DEFAULT_FETCH_S,
+    };
     this.members.forEach((member) => this.network.setZone(member, createSettings(member, options).zone));
     this.cloud = new SimulatedCloud(
       this.clock,
