Recognize a new worker on a machine: a late copy of the former one's report freed its tasks

Callers see: tasks run on two machines (`ran_twice`) after a change of leader, a restart of machines and a late copy of a report that a former worker sent and no controller had seen.

Cause: incarnations and sequence numbers start over with a new worker, so a report of the former worker may look newer than all of the new one's. Its list lacks the new worker's tasks, which counted as ended.

Change: a response to a direct call that is older than what was known before the call, or that shows an older fencing token, proves a new worker: what it does not list is free at once. A heartbeat that lacks a task which its incarnation has listed shows that two workers are mixed up, and frees nothing. After either, nothing is learned from the machine or placed on it, and it is deleted even while many machines are overdue.

A test changed: 'a node is unreachable after two responses without an effect' let its worker forget a running task, which no worker does. It forgets an exited one now, with the same steps and results.

--- a/src/cluster/cluster-state.ts
+++ b/src/cluster/cluster-state.ts
@@ -6,7 +6,7 @@
 import type { WireInt } from '../wire/json.js';
 import type { ExitCause } from './worker-messages.js';
 import { createAttempt, type Attempt, type AttemptIdentity, type AttemptState, type Job } from './attempt.js';
-import { createNode, type Node, type NodeDescription } from './node.js';
+import type { Node, NodeDescription } from './node.js';
 import {
   addResources,
   NO_RESOURCES,
@@ -14,6 +14,7 @@
   type MutableResources,
   type Resources,
 } from './resources.js';
+import { createNode } from './tracked-node.js';
 
 export { formatAttemptKey, formatTaskName, type Attempt, type Job } from './attempt.js';
 export type { Node, NodeDescription } from './node.js';
--- a/src/cluster/heartbeat-reconciler.ts
+++ b/src/cluster/heartbeat-reconciler.ts
@@ -1,6 +1,6 @@
 /** Reconciles the attempts that the cluster state holds with the tasks that the workers list. */
-import type { Heartbeat, TaskStatus } from './worker-messages.js';
-import { formatAttemptKey, type Attempt, type Job } from './attempt.js';
+import type { Heartbeat, TaskState, TaskStatus } from './worker-messages.js';
+import { formatAttemptKey, type Attempt, type AttemptState, type Job } from './attempt.js';
 import type { ClusterState } from './cluster-state.js';
 import {
   classifyUnlistedAttempt,
@@ -11,6 +11,9 @@
 } from './lease-rules.js';
 import type { Node } from './node.js';
 
+/** The tasks that a worker lists, by the keys of their attempts. */
+type ListedTasks = ReadonlyMap<string, TaskStatus>;
+
 /** Dependencies of `HeartbeatReconciler`. */
 export interface HeartbeatReconcilerDependencies {
   readonly clusterState: ClusterState;
@@ -27,21 +30,27 @@
 
   /**
    * Applies the status that a worker sent in a heartbeat or in its response to a command. Returns false and changes
-   * nothing if the status is no newer than the last known one, or if it belongs to a fenced incarnation.
+   * nothing if the status is no newer than the last known one, or if it belongs to a fenced incarnation. Returns false
+   * and marks the worker as replaced if the status cannot follow the last known one.
    */
   apply(node: Node, heartbeat: Heartbeat, source: HeartbeatSource, nowMs: number): boolean {
+    if (node.isWorkerReplaced) return false;
     if (heartbeat.incarnation <= node.fencedIncarnation || !isNewerHeartbeat(heartbeat, node)) return false;
+    const listedTasks = indexTasks(heartbeat);
+    if (source === 'heartbeat' && lacksKnownTask(node, heartbeat, listedTasks)) {
+      this.markWorkerReplaced(node, nowMs);
+      return false;
+    }
     this.applyIncarnation(node, heartbeat, nowMs);
     node.recordStatus(heartbeat, nowMs);
     // A worker that responds to commands may still be unable to reach any controller. Only its heartbeats show that
     // its lease is renewed.
     if (source === 'heartbeat') node.recordHeartbeat(nowMs);
-    const hasAcknowledgedStart = heartbeat.tasks.some(
-      (task) => node.attempts.get(getAttemptKey(task))?.state === 'sent',
+    const hasAcknowledgedStart = [...listedTasks.keys()].some(
+      (key) => node.attempts.get(key)?.state === 'sent',
     );
-    const listedKeys = new Set<string>();
-    for (const task of heartbeat.tasks) listedKeys.add(this.applyListedTask(node, task, nowMs));
-    const hasUnexecutedStart = this.applyUnlistedAttempts(node, listedKeys, source);
+    this.applyListedTasks(node, listedTasks, nowMs);
+    const hasUnexecutedStart = this.applyUnlistedAttempts(node, listedTasks, source);
     if (hasAcknowledgedStart) node.acknowledgeResponses();
     else if (hasUnexecutedStart) node.countUnacknowledgedResponse();
     return true;
@@ -56,6 +65,23 @@
     this.extendLease(node, responseMs);
   }
 
+  /**
+   * Applies the status of a new worker that has replaced the known one, according to its response to a direct call. What
+   * the response does not list has ended with the former worker. No further message of the node is applied.
+   */
+  applyReplacement(node: Node, response: Heartbeat, nowMs: number): void {
+    this.markWorkerReplaced(node, nowMs);
+    const listedTasks = indexTasks(response);
+    this.applyListedTasks(node, listedTasks, nowMs);
+    this.applyUnlistedAttempts(node, listedTasks, 'commandResponse');
+  }
+
+  /** Marks the worker as replaced. The lease of the new worker started with the worker, which was before now. */
+  private markWorkerReplaced(node: Node, nowMs: number): void {
+    node.markWorkerReplaced();
+    this.extendLease(node, nowMs);
+  }
+
   private extendLease(node: Node, leaseStartMs: number): void {
     node.extendLease(computeLeaseExpiryMs(leaseStartMs, this.dependencies.leaseS));
   }
@@ -82,21 +108,24 @@
     this.extendLease(node, nowMs);
   }
 
-  /** Applies the state of one listed task, and returns the key of its attempt. */
-  private applyListedTask(node: Node, task: TaskStatus, nowMs: number): string {
-    const key = getAttemptKey(task);
-    const attempt = node.attempts.get(key) ?? this.addListedAttempt(node, task, nowMs);
-    if (attempt.state === 'exited') return key;
+  private applyListedTasks(node: Node, listedTasks: ListedTasks, nowMs: number): void {
+    for (const [key, task] of listedTasks) {
+      const attempt = node.attempts.get(key) ?? this.addListedAttempt(node, task, nowMs);
+      this.applyListedTask(node, attempt, task, nowMs);
+    }
+  }
+
+  private applyListedTask(node: Node, attempt: Attempt, task: TaskStatus, nowMs: number): void {
+    if (attempt.state === 'exited') return;
     if (task.state === 'exited') {
       this.dependencies.clusterState.exitAttempt(attempt, task.exitCause ?? 'stopped');
-      return key;
+      return;
     }
     if (task.state === 'running' && attempt.state !== 'running' && attempt.job) {
       const { image, imageGb } = attempt.job.spec;
       node.cacheImage(image, imageGb);
     }
     attempt.recordState(task.state, nowMs);
-    return key;
   }
 
   /** Adds an attempt of an earlier term, or one that kept running after it was released. */
@@ -122,14 +151,10 @@
    * Classifies each attempt that the worker does not list, and removes those that have ended. Returns true if a start
    * command that was sent has had no effect.
    */
-  private applyUnlistedAttempts(
-    node: Node,
-    listedKeys: ReadonlySet<string>,
-    source: HeartbeatSource,
-  ): boolean {
+  private applyUnlistedAttempts(node: Node, listedTasks: ListedTasks, source: HeartbeatSource): boolean {
     let hasUnexecutedStart = false;
     for (const [key, attempt] of node.attempts) {
-      if (listedKeys.has(key)) continue;
+      if (listedTasks.has(key)) continue;
       if (this.applyUnlistedAttempt(node, attempt, source)) hasUnexecutedStart = true;
       // A planned attempt that should be stopped has ended if none of its start commands can still be executed.
       if (attempt.state === 'planned' && attempt.stopRequest && attempt.directStart === 'none')
@@ -144,7 +169,7 @@
    */
   private applyUnlistedAttempt(node: Node, attempt: Attempt, source: HeartbeatSource): boolean {
     const { startSentSequence, directStart } = attempt;
-    const state = attempt.state === 'planned' || attempt.state === 'sent' ? attempt.state : 'listed';
+    const state = isListedState(attempt.state) ? 'listed' : attempt.state;
     const verdict = classifyUnlistedAttempt({
       state,
       startSentSequence,
@@ -167,6 +192,24 @@
   }
 }
 
-function getAttemptKey(task: TaskStatus): string {
-  return formatAttemptKey(task.jobUid, task.taskIndex, task.attemptNumber);
+function indexTasks({ tasks }: Heartbeat): ListedTasks {
+  return new Map(
+    tasks.map((task) => [formatAttemptKey(task.jobUid, task.taskIndex, task.attemptNumber), task]),
+  );
+}
+
+/**
+ * Whether the heartbeat lacks a task that its incarnation has listed and has not reported as exited. A worker forgets
+ * no such task, so one of the two messages is of a new worker on the same machine. It is unknown which, as messages may
+ * arrive late, so the heartbeat does not prove that the task has ended.
+ */
+function lacksKnownTask(node: Node, heartbeat: Heartbeat, listedTasks: ListedTasks): boolean {
+  if (heartbeat.incarnation !== node.incarnation) return false;
+  for (const [key, { state }] of node.attempts)
+    if (isListedState(state) && state !== 'exited' && !listedTasks.has(key)) return true;
+  return false;
+}
+
+function isListedState(state: AttemptState): state is TaskState {
+  return state !== 'planned' && state !== 'sent';
 }
--- a/src/cluster/lease-rules.ts
+++ b/src/cluster/lease-rules.ts
@@ -53,12 +53,23 @@
   return message.sequence > newestSeen.sequence;
 }
 
+/** A worker's response to a direct call of this term. */
+export interface DirectCallResponse extends HeartbeatVersion {
+  /** The highest fencing token that the worker has seen. */
+  readonly fencingToken: WireInt;
+}
+
 /**
- * Whether the response to a direct call proves that a new worker has begun on the machine. The worker that was known
- * when the call began gives each later message a larger number, and a response is made after its call began.
+ * Whether the response to a direct call proves that a new worker has replaced the one that was known when the call
+ * began. The known worker had seen the fencing token of the term and gives each later message a larger number, and a
+ * response is made after its call began.
  */
-export function provesWorkerRestart(response: HeartbeatVersion, knownAtCall: HeartbeatVersion): boolean {
-  return !isNewerHeartbeat(response, knownAtCall);
+export function provesWorkerReplacement(
+  response: DirectCallResponse,
+  knownAtCall: HeartbeatVersion,
+  termFencingToken: number,
+): boolean {
+  return response.fencingToken < termFencingToken || !isNewerHeartbeat(response, knownAtCall);
 }
 
 /** What the leader knows about the node that sent a heartbeat. */
@@ -67,6 +78,8 @@
   readonly isDeleted: boolean;
   /** Whether an earlier heartbeat of the node showed the fencing token of this term. */
   readonly isReconciled: boolean;
+  /** Whether a new worker has replaced the one that was known, so that the order of the node's messages is unknown. */
+  readonly isWorkerReplaced: boolean;
 }
 
 /**
@@ -75,7 +88,7 @@
  * - `current`: The worker has received a response of this term.
  * - `firstContact`: The worker does not know the fencing token of this term, so the heartbeat may be an old copy. The
  *   response shows the token to the worker, and the leader concludes nothing about the worker's tasks.
- * - `stale`: The heartbeat belongs to a deleted node, or is older than what the node has already shown, or comes from
+ * - `stale`: The heartbeat belongs to a deleted node or to one whose worker was replaced, or is older than what the node has already shown, or comes from
  *   a worker that obeys a later term. Such a worker would ignore the response, although its lease would count as
  *   extended here.
  */
@@ -87,7 +100,7 @@
   termFencingToken: number,
   node: KnownNode,
 ): HeartbeatFreshness {
-  if (node.isDeleted || fencingToken > termFencingToken) return 'stale';
+  if (node.isDeleted || node.isWorkerReplaced || fencingToken > termFencingToken) return 'stale';
   if (fencingToken === termFencingToken) return 'current';
   return node.isReconciled ? 'stale' : 'firstContact';
 }
--- a/src/cluster/node-health.ts
+++ b/src/cluster/node-health.ts
@@ -82,6 +82,7 @@
       node.isReconciled &&
       node.unacknowledgedResponses < MAX_UNACKNOWLEDGED_RESPONSES &&
       !node.isTerminating &&
+      !node.isWorkerReplaced &&
       node.interruptionMs === Infinity &&
       !this.isQuarantined(node)
     );
@@ -134,7 +135,7 @@
     let silentCount = 0;
     let nodeCount = 0;
     for (const node of this.dependencies.clusterState.nodes.values()) {
-      if (node.lastHeartbeatMs === -Infinity || nowMs > node.leaseExpiryMs) continue;
+      if (node.lastHeartbeatMs === -Infinity || nowMs > node.leaseExpiryMs || node.isWorkerReplaced) continue;
       // If the leader cannot reach the controllers of the zone either, these renew the leases of the zone's nodes.
       if (this.isZoneUnreachable(node.zone)) continue;
       nodeCount++;
@@ -153,7 +154,8 @@
     const allNodes: RelayGroup = { nodeCount: 0, overdueCount: 0 };
     const groups = new Map<string, RelayGroup>();
     for (const node of this.dependencies.clusterState.nodes.values()) {
-      if (this.isBooting(node) || this.dependencies.isLeaseDelegated(node)) continue;
+      // The heartbeats of a replaced worker are not accepted, so their absence is no sign of an outage.
+      if (this.isBooting(node) || this.dependencies.isLeaseDelegated(node) || node.isWorkerReplaced) continue;
       let group = groups.get(node.relayedBy);
       if (!group) groups.set(node.relayedBy, (group = { nodeCount: 0, overdueCount: 0 }));
       if (this.isZoneUnreachable(node.zone)) this.zoneLastUnreachableMs.set(node.zone, nowMs);
--- a/src/leader/cluster-components.ts
+++ b/src/leader/cluster-components.ts
@@ -2,10 +2,10 @@
  * The components of a leader that manage its jobs and nodes and send commands to workers. They are built in the order
  * of their dependencies. Where two components need each other, one of them is reached through a closure.
  */
-import { ClusterState, type Node, type Resources } from '../cluster/cluster-state.js';
+import { ClusterState, type Resources } from '../cluster/cluster-state.js';
 import { NodeHealth } from '../cluster/node-health.js';
 import { NodeRecords } from '../cluster/node-records.js';
-import type { Heartbeat } from '../cluster/worker-messages.js';
+import type { CommandResponse } from '../workers/command-call.js';
 import { CommandDispatcher } from '../workers/command-dispatcher.js';
 import { InstanceCatalog } from './instance-catalog.js';
 import { JobStore } from './job-store.js';
@@ -18,8 +18,8 @@
 export interface ClusterComponentsOptions {
   readonly dependencies: LeaderDependencies;
   readonly mailbox: LeaderMailbox;
-  /** Applies the heartbeat that a worker sent in response to commands. */
-  readonly handleCommandResponse: (node: Node, heartbeat: Heartbeat) => void;
+  /** Applies the status that a worker sent in response to commands. */
+  readonly handleCommandResponse: (response: CommandResponse) => void;
 }
 
 /** The components that manage the jobs and nodes of one term. */
@@ -118,8 +118,8 @@
       log,
       mayStart: (attempt) => this.taskLifecycle.mayStart(attempt),
       deliverCallResult: (result) => this.mailbox.send({ kind: 'commandCallEnded', result }),
-      handleResponse: (node, heartbeat) => {
-        handleCommandResponse(node, heartbeat);
+      handleResponse: (response) => {
+        handleCommandResponse(response);
         this.mailbox.requestSchedulingCycle();
       },
     });
--- a/src/leader/fleet-reconciler.ts
+++ b/src/leader/fleet-reconciler.ts
@@ -54,7 +54,8 @@
   | 'not listed'
   | 'boot overdue'
   | 'unreachable'
-  | 'responses not received';
+  | 'responses not received'
+  | 'worker replaced';
 
 /**
  * Selects the role that terminates a node. A node that is idle, or that was emptied before an interruption, is
@@ -206,6 +207,7 @@
   private findTerminationReason(node: Node, nowMs: number): TerminationReason | undefined {
     const { nodeHealth } = this.dependencies;
     if (nodeHealth.isBooting(node)) return nodeHealth.isBootOverdue(node, nowMs) ? 'boot overdue' : undefined;
+    if (node.isWorkerReplaced) return 'worker replaced';
     const isUnreachable = nodeHealth.isUnreachable(node, nowMs);
     if (nodeHealth.isZoneUnreachable(node.zone)) {
       // Nodes in a partitioned zone keep running and switch to the controllers in that zone.
--- a/src/leader/leader-components.ts
+++ b/src/leader/leader-components.ts
@@ -54,8 +54,7 @@
     this.cluster = new ClusterComponents({
       dependencies,
       mailbox,
-      handleCommandResponse: (node, heartbeat) =>
-        this.heartbeatHandler.handleCommandResponse(node, heartbeat),
+      handleCommandResponse: (response) => this.heartbeatHandler.handleCommandResponse(response),
     });
     this.scheduler = this.createScheduler();
     this.spotInterruptionRate = new SpotInterruptionRate(
--- a/src/simulation/simulated-worker.ts
+++ b/src/simulation/simulated-worker.ts
@@ -110,6 +110,11 @@
     return this.clock.steadyMs() - this.leaseRenewedMs;
   }
 
+  /** Whether a task runs on the machine. */
+  get isBusy(): boolean {
+    return [...this.tasks.values()].some(({ phase }) => phase === 'running');
+  }
+
   /** Number of the current session. It increases each time the lease expires, and a restart resets it. */
   get sessionNumber(): number {
     return this.session;
--- a/src/workers/command-call.ts
+++ b/src/workers/command-call.ts
@@ -30,6 +30,14 @@
 /** Whether the commands of a direct call were executed, as far as its outcome proves it. */
 export type ExecutionStatus = 'executed' | 'notExecuted' | 'unknown';
 
+/** A worker's status in its response to a direct call. */
+export interface CommandResponse {
+  readonly node: Node;
+  readonly status: Heartbeat;
+  /** The newest message of the worker that was known when the call began. */
+  readonly knownAtCall: HeartbeatVersion;
+}
+
 /** Returns what the outcome of a direct call proves about the execution of its commands. */
 export function determineExecutionStatus(outcome: CommandCallOutcome): ExecutionStatus {
   if (outcome.kind === 'noResponse') return outcome.failure === 'unsent' ? 'notExecuted' : 'unknown';
--- a/src/workers/command-dispatcher.ts
+++ b/src/workers/command-dispatcher.ts
@@ -11,13 +11,9 @@
   type ClusterState,
   type Node,
 } from '../cluster/cluster-state.js';
-import {
-  computeDirectStartExpiryMs,
-  provesWorkerRestart,
-  type HeartbeatVersion,
-} from '../cluster/lease-rules.js';
+import { computeDirectStartExpiryMs, type HeartbeatVersion } from '../cluster/lease-rules.js';
 import { needsCommands, generatePendingCommands, type PendingCommand } from '../cluster/pending-commands.js';
-import type { Heartbeat, WorkerCommand } from '../cluster/worker-messages.js';
+import type { WorkerCommand } from '../cluster/worker-messages.js';
 import {
   COMMAND_CALL_TIMEOUT_MS,
   LOST_START_FENCING_DELAY_MS,
@@ -33,6 +29,7 @@
   parseCommandResponse,
   type CommandCallOutcome,
   type CommandCallResult,
+  type CommandResponse,
   type ExecutionStatus,
 } from './command-call.js';
 
@@ -53,8 +50,8 @@
   readonly mayStart: (attempt: Attempt) => boolean;
   /** Delivers the result to `handleCallResult` through the leader's mailbox. */
   readonly deliverCallResult: (result: CommandCallResult) => void;
-  /** Handles the heartbeat that a worker returns in response to a direct call. */
-  readonly handleResponse: (node: Node, heartbeat: Heartbeat) => void;
+  /** Handles the status that a worker returns in response to a direct call. */
+  readonly handleResponse: (response: CommandResponse) => void;
 }
 
 /** The commands of one direct call, and the attempts that it starts. */
@@ -126,11 +123,10 @@
     const executionStatus = determineExecutionStatus(outcome);
     if (attemptsToStart.length > 0) this.extendLease(node, knownAtCall, executionStatus);
     for (const attempt of attemptsToStart) this.endDirectStart(attempt, executionStatus);
-    const heartbeat = parseCommandResponse(outcome);
+    const status = parseCommandResponse(outcome);
     // The node may have been deleted in the meantime, or deleted and added again.
-    if (!heartbeat || this.dependencies.clusterState.nodes.get(node.name) !== node) return;
-    if (provesWorkerRestart(heartbeat, knownAtCall)) this.logRestart(node, knownAtCall, heartbeat);
-    this.dependencies.handleResponse(node, heartbeat);
+    if (!status || this.dependencies.clusterState.nodes.get(node.name) !== node) return;
+    this.dependencies.handleResponse({ node, status, knownAtCall });
   }
 
   /**
@@ -158,6 +154,7 @@
 
   private sendToNode(node: Node, nowMs: number): void {
     if (this.nodesBeingCalled.has(node) || !node.isReconciled || node.address === '') return;
+    if (node.isWorkerReplaced) return;
     if (!this.dependencies.term.authority.isValid(nowMs)) return;
     if (!needsCommands(node)) {
       this.dependencies.clusterState.clearAwaitingCommands(node);
@@ -190,14 +187,6 @@
     );
   }
 
-  private logRestart(node: Node, known: HeartbeatVersion, response: HeartbeatVersion): void {
-    const { incarnation, sequence } = response;
-    this.dependencies.log.info(
-      { node: node.name, known, response: { incarnation, sequence } },
-      'worker restarted according to its response to a command',
-    );
-  }
-
   private prepareDirectCall(node: Node, nowMs: number): DirectCall {
     const commands: WorkerCommand[] = [];
     const attemptsToStart: Attempt[] = [];
--- a/src/workers/heartbeat-handler.ts
+++ b/src/workers/heartbeat-handler.ts
@@ -2,7 +2,13 @@
 import type { Logger } from 'pino';
 import type { ClusterState, Node, Resources } from '../cluster/cluster-state.js';
 import type { HeartbeatReconciler } from '../cluster/heartbeat-reconciler.js';
-import { classifyHeartbeat, type HeartbeatFreshness } from '../cluster/lease-rules.js';
+import {
+  classifyHeartbeat,
+  provesWorkerReplacement,
+  type HeartbeatFreshness,
+  type HeartbeatSource,
+  type HeartbeatVersion,
+} from '../cluster/lease-rules.js';
 import type { NodeRecords } from '../cluster/node-records.js';
 import type { Heartbeat, WorkerCommand } from '../cluster/worker-messages.js';
 import { FIRST_CONTACT_WINDOW_MS } from '../constants.js';
@@ -12,6 +18,7 @@
 import type { StateReplica } from '../state/state-replica.js';
 import { formatJson } from '../wire/json.js';
 import { encodeCommands } from './codec.js';
+import type { CommandResponse } from './command-call.js';
 import type { CommandDispatcher } from './command-dispatcher.js';
 import { createStopCommandsForEndedJobs } from './stop-commands.js';
 
@@ -82,17 +89,21 @@
     else this.handleCurrentHeartbeat(knownNode ?? this.addNode(received), received);
   }
 
-  /** Applies the heartbeat that a worker returned in response to a direct call. It does not extend the lease. */
-  handleCommandResponse(node: Node, heartbeat: Heartbeat): void {
+  /** Applies the status that a worker returned in response to a direct call. It does not extend the lease. */
+  handleCommandResponse({ node, status, knownAtCall }: CommandResponse): void {
     const { term, heartbeatReconciler, nowMs } = this.dependencies;
-    if (heartbeat.fencingToken !== term.fencingToken) return;
-    if (heartbeatReconciler.apply(node, heartbeat, 'commandResponse', nowMs())) this.recordContact(node);
+    if (status.fencingToken > term.fencingToken) return;
+    if (provesWorkerReplacement(status, knownAtCall, term.fencingToken)) {
+      heartbeatReconciler.applyReplacement(node, status, nowMs());
+      this.recordReplacement(node, status, 'commandResponse');
+    } else if (heartbeatReconciler.apply(node, status, 'commandResponse', nowMs())) this.recordContact(node);
   }
 
   private classifyFreshness(heartbeat: Heartbeat, knownNode: Node | undefined): HeartbeatFreshness {
     return classifyHeartbeat(heartbeat.fencingToken, this.dependencies.term.fencingToken, {
       isDeleted: this.dependencies.wasRecentlyDeleted(heartbeat.nodeName),
       isReconciled: knownNode?.isReconciled ?? false,
+      isWorkerReplaced: knownNode?.isWorkerReplaced ?? false,
     });
   }
 
@@ -110,9 +121,11 @@
     const nowMs = this.dependencies.nowMs();
     const isFirstHeartbeat = node.lastHeartbeatMs === -Infinity;
     // A late heartbeat does not get the status 200, because its worker must not rely on the response. The heartbeat may
-    // also come from a restarted worker, whose counters started over. Its node becomes unreachable and is replaced.
-    if (!this.dependencies.heartbeatReconciler.apply(node, heartbeat, 'heartbeat', nowMs))
+    // also come from a new worker, whose counters started over. Its node becomes unreachable and is replaced.
+    if (!this.dependencies.heartbeatReconciler.apply(node, heartbeat, 'heartbeat', nowMs)) {
+      if (node.isWorkerReplaced) this.recordReplacement(node, heartbeat, 'heartbeat');
       return respond(NOT_ACCEPTED);
+    }
     if (isFirstHeartbeat) this.recordFirstHeartbeat(node, nowMs);
     this.recordContact(node);
     const commands = this.dependencies.commandDispatcher.prepareCommandsForHeartbeat(
@@ -152,6 +165,21 @@
     node.markIdle(nowMs);
   }
 
+  /** Records that a message shows that a new worker has replaced the known one. The node will be terminated. */
+  private recordReplacement(node: Node, message: HeartbeatVersion, source: HeartbeatSource): void {
+    const { name, incarnation, sequence } = node;
+    this.dependencies.log.info(
+      {
+        node: name,
+        known: { incarnation, sequence },
+        received: { incarnation: message.incarnation, sequence: message.sequence },
+        source,
+      },
+      'worker replaced by a new one',
+    );
+    this.dependencies.requestSchedulingCycle();
+  }
+
   /** Records that all attempts on the node are known. The node may get further ones once its record is written. */
   private recordContact(node: Node): void {
     if (!node.isReconciled) {
--- a/test/cluster/lease-rules.test.ts
+++ b/test/cluster/lease-rules.test.ts
@@ -5,6 +5,7 @@
   classifyUnlistedAttempt,
   hasExpiredDespiteResponse,
   isNewerHeartbeat,
+  provesWorkerReplacement,
   computeLeaseExpiryMs,
   type HeartbeatFreshness,
   type KnownNode,
@@ -66,9 +67,10 @@
 });
 
 test('only a heartbeat that shows the fencing token of the term proves that a response arrived', () => {
-  const reconciled: KnownNode = { isDeleted: false, isReconciled: true };
-  const unreconciled: KnownNode = { isDeleted: false, isReconciled: false };
-  const deleted: KnownNode = { isDeleted: true, isReconciled: false };
+  const reconciled: KnownNode = { isDeleted: false, isReconciled: true, isWorkerReplaced: false };
+  const unreconciled: KnownNode = { ...reconciled, isReconciled: false };
+  const deleted: KnownNode = { ...unreconciled, isDeleted: true };
+  const replaced: KnownNode = { ...reconciled, isWorkerReplaced: true };
   const cases: [fencingToken: WireInt, node: KnownNode, freshness: HeartbeatFreshness][] = [
     [7, reconciled, 'current'],
     [7, unreconciled, 'current'],
@@ -81,6 +83,9 @@
     // A deleted node stays deleted, whatever copies of its heartbeats show.
     [7, deleted, 'stale'],
     [6, deleted, 'stale'],
+    // Once a new worker has replaced the known one, it is unknown which of them sent a heartbeat.
+    [7, replaced, 'stale'],
+    [0, replaced, 'stale'],
     // The worker obeys a later term. It would ignore the response, while its lease would count as extended here.
     [8, reconciled, 'stale'],
     [8n, unreconciled, 'stale'],
@@ -89,6 +94,35 @@
     assert.equal(classifyHeartbeat(fencingToken, 7, node), freshness);
 });
 
+// Guards against a new worker that is taken for the former one: a restart resets the counters of the worker and the
+// fencing token that it has seen.
+test('a response to a direct call that the known worker cannot have sent proves that a new worker replaced it', () => {
+  const termFencingToken = 7;
+  const cases: [
+    response: [incarnation: number, sequence: number, fencingToken: number],
+    known: [incarnation: number, sequence: number],
+    isReplaced: boolean,
+  ][] = [
+    [[1, 25, 7], [1, 24], false],
+    [[2, 1, 7], [1, 24], false],
+    [[1, 24, 7], [1, 24], true],
+    [[1, 1, 7], [1, 24], true],
+    [[1, 30, 7], [2, 24], true],
+    // The new worker has not seen the token, because the call was meant for another incarnation.
+    [[1, 25, 6], [1, 24], true],
+    [[3, 1, 0], [1, 24], true],
+  ];
+  for (const [response, known, isReplaced] of cases) {
+    const [incarnation, sequence, fencingToken] = response;
+    const knownAtCall = { incarnation: known[0], sequence: known[1] };
+    assert.equal(
+      provesWorkerReplacement({ incarnation, sequence, fencingToken }, knownAtCall, termFencingToken),
+      isReplaced,
+      `${response.join()} after ${known.join()}`,
+    );
+  }
+});
+
 test('an incarnation that ended soon after a response to it shows that responses do not reach the worker', () => {
   const lastKnown = { incarnation: 1, sequence: 9 };
   const cases: [incarnation: number, lastResponseMs: number, nowMs: number, hasExpired: boolean][] = [
--- a/test/cluster/node-health.test.ts
+++ b/test/cluster/node-health.test.ts
@@ -16,7 +16,7 @@
   const steps: [tasks: TaskStatus[], isSchedulable: boolean][] = [
     [[], true],
     [[], true],
-    [[createRunningTask(0, 7)], true],
+    [[{ ...createRunningTask(0, 7), state: 'exited', exitCause: 'stopped' }], true],
     [[], true],
     [[], true],
     [[], true],
--- a/test/worker-restarts.test.ts
+++ b/test/worker-restarts.test.ts
@@ -18,6 +18,14 @@
     ({ node }) => deployment.cloud.machines.get(node)!.worker!,
   );
 
+/** Lets simulated time pass until the promise is settled, and returns its result. */
+async function runUntilSettled<T>(deployment: SimulatedDeployment, promise: Promise<T>): Promise<T> {
+  let isSettled = false;
+  void promise.finally(() => (isSettled = true));
+  while (!isSettled) await deployment.clock.runUntil(deployment.clock.steadyMs() + 10);
+  return promise;
+}
+
 /**
  * Guards against tasks that run twice (rule `ran_twice`): a direct call starts a task on a new worker whose messages look
  * like late copies of the former worker's, and the leader counts the lease of the task from its last response to the
@@ -51,3 +59,52 @@
     assert.ok(deployment.isFinished(array));
   });
 }
+
+/**
+ * Guards against tasks that run twice (rule `ran_twice`): a late copy of a report that no controller has seen, sent by the
+ * former worker after a change of leader, looks newer than all reports of the new worker, and its list lacks their tasks.
+ */
+for (const seed of [1, 2, 3]) {
+  test(`a late copy of a former worker's report frees no task of the new worker (seed ${seed})`, async () => {
+    const deployment = new SimulatedDeployment(seed, { ...SMALL_DEPLOYMENT, machineZones: ['east'] });
+    const otherService = deployment.submit({ kind: 'service', tasks: 3, cpus: 4 });
+    await deployment.clock.runUntil(20_000);
+    const service = deployment.submit({ kind: 'service', tasks: 3, cpus: 4 });
+    await deployment.clock.runUntil(40_000);
+    const workers = listWorkersOf(deployment, service.uid);
+    assert.equal(workers.length, 3);
+    // The new leader knows the new workers only, and gives them the token of its term and tasks.
+    for (const member of deployment.members) deployment.crashController(member, 300);
+    await deployment.clock.runUntil(40_500);
+    for (const worker of workers) worker.restart();
+    await deployment.clock.runUntil(68_000);
+    // The machines of the other service have room, and are filled first because they are older.
+    void deployment.cancel(otherService.uid);
+    await deployment.clock.runUntil(70_000);
+    const record = deployment.state.getValue('ph/leader') as { member: string; term: number };
+    const [index, { node }] = [...deployment.rules.jobs.get(service.uid)!.runningTasks][0]!;
+    const { machine, address } = workers.find((worker) => worker.machine.name === node)!;
+    const lateReport = {
+      hearth: node,
+      address,
+      build: machine.instanceType,
+      yard: machine.zone,
+      loaner: false,
+      tenure: 1,
+      tick: 1_000,
+      baton: record.term,
+      warningS: null,
+      // The attempt of the former worker, which ended when the machine restarted.
+      pieces: [{ piece: `${service.uid}/${index}`, try: 1, phase: 'running' }],
+    };
+    const response = await runUntilSettled(
+      deployment,
+      deployment.sendRequest(record.member, 'POST', '/v1/report', lateReport),
+    );
+    await deployment.clock.runUntil(130_000);
+    assert.deepEqual(deployment.rules.violations, []);
+    assert.equal(response?.status, 503);
+    assert.ok(!deployment.cloud.machines.has(node), 'the machine is still rented');
+    assert.equal(listWorkersOf(deployment, service.uid).length, 3);
+  });
+}
--- a/test/workers/command-dispatcher.test.ts
+++ b/test/workers/command-dispatcher.test.ts
@@ -59,7 +59,7 @@
     log: pino({ level: 'silent' }),
     mayStart: () => true,
     deliverCallResult: (result) => dispatcher.handleCallResult(result),
-    handleResponse: (_node, heartbeat) => responses.push(heartbeat.nodeName),
+    handleResponse: ({ status }) => responses.push(status.nodeName),
   });
   const sendPending = async (nowMs: number): Promise<void> => {
     dispatcher.sendPending(nowMs);
