Show the token again after a lease expired: machines that restarted together were lost

Callers see: work waits although machines have room. After three of eight machines restart, nothing starts on them again and they are not returned, until the leader changes.

Cause: a new worker has not seen the token of the term. As its machine was reconciled once, its heartbeats count as late copies for the rest of the term. Silent machines are not returned while a quarter of them are silent, for a partition is suspected then.

Change: an expired lease ends what is known of the worker, so the next one is shown the token as at a first contact; nothing is on its machine then. A heartbeat of an incarnation that has certainly ended is not answered, so that the worker reaches a later one.

--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -50,7 +50,10 @@
   readonly leaseExpiryMs: number;
   /** Incarnations up to this one have certainly ended. */
   readonly fencedIncarnation: WireInt;
-  /** Whether a heartbeat showed this term's fencing token, so that the list of attempts is complete. */
+  /**
+   * Whether a heartbeat showed this term's fencing token since the lease last expired, so that the worker has seen the
+   * token and the list of attempts is complete.
+   */
   readonly isReconciled: boolean;
   /** Whether the state store marks the node as possibly holding tasks. This has to be so before a task is started. */
   readonly isPersistedAsUsed: boolean;
@@ -97,7 +100,10 @@
   markResponsesLost(): void;
   /** Records that a lease of the worker may last until `expiryMs`. An expiry before the known one changes nothing. */
   extendLease(expiryMs: number): void;
-  /** Records that the lease has expired. The node then counts as never contacted. */
+  /**
+   * Records that the lease has expired. The node then counts as never contacted, because a new worker that has not seen
+   * this term's fencing token may have replaced the known one.
+   */
   expireLease(): void;
   /** Records that the current incarnation has certainly ended. No message of it is accepted any more. */
   fence(): void;
--- a/src/cluster/tracked-node.ts
+++ b/src/cluster/tracked-node.ts
@@ -98,6 +98,7 @@
   expireLease(): void {
     this.leaseExpiryMs = -Infinity;
     this.firstContactMs = -Infinity;
+    this.isReconciled = false;
   }
 
   fence(): void {
--- a/src/workers/heartbeat-handler.ts
+++ b/src/workers/heartbeat-handler.ts
@@ -147,6 +147,8 @@
     const { nodeRecords, replica, requestSchedulingCycle } = this.dependencies;
     if (node) {
       const nowMs = this.dependencies.nowMs();
+      // A new worker on the machine is accepted only in a later incarnation, which it reaches if it gets no response.
+      if (heartbeat.incarnation <= node.fencedIncarnation) return respond(NOT_ACCEPTED);
       node.recordFirstContact(nowMs);
       // The worker would know the token by now if responses reached it. Further responses would extend its lease on the
       // leader, which would then wait forever for the worker's tasks to end.
--- a/test/worker-restarts.test.ts
+++ b/test/worker-restarts.test.ts
@@ -108,3 +108,24 @@
     assert.equal(listWorkersOf(deployment, service.uid).length, 3);
   });
 }
+
+/**
+ * Guards against machines that are neither used nor returned after they restarted together: their new workers had not seen
+ * the token of the term, were never shown it again, and looked like machines that a partition cuts off.
+ */
+for (const seed of [1, 2, 3]) {
+  test(`machines that restart together are used again or replaced (seed ${seed})`, async () => {
+    const options = { ...SMALL_DEPLOYMENT, machineCapacity: 8, machineZones: ['east'] };
+    const deployment = new SimulatedDeployment(seed, options);
+    const fullService = deployment.submit({ kind: 'service', tasks: 5, cpus: 4 });
+    const service = deployment.submit({ kind: 'service', team: 'red', tasks: 3, cpus: 4 });
+    await deployment.clock.runUntil(60_000);
+    const workers = listWorkersOf(deployment, service.uid);
+    assert.equal(workers.length, 3);
+    for (const worker of workers) worker.restart();
+    await deployment.clock.runUntil(120_000);
+    assert.deepEqual(deployment.rules.violations, []);
+    assert.equal(listWorkersOf(deployment, fullService.uid).length, 5);
+    assert.equal(listWorkersOf(deployment, service.uid).length, 3);
+  });
+}
