Count only an answered heartbeat as the first contact: machines up in an outage stayed unused

Callers see: work waits although machines have room. Machines that come up while the leader may not answer (state service out, no votes) are never used or returned in its term.

Cause: the time for which a worker is shown the token began with a heartbeat that got no answer. After it the machine is refused until a lease of it ends, and without an answer it has none.

Change: a heartbeat that gets no answer is no first contact.

--- a/src/workers/heartbeat-handler.ts
+++ b/src/workers/heartbeat-handler.ts
@@ -145,6 +145,8 @@
   private handleFirstContact(node: Node | undefined, received: ReceivedHeartbeat): void {
     const { heartbeat, respond } = received;
     const { nodeRecords, replica, requestSchedulingCycle } = this.dependencies;
+    // A heartbeat that gets no response must not count as the first contact, because no lease would end the window.
+    if (!this.mayRespond()) return respond(NOT_ACCEPTED);
     if (node) {
       const nowMs = this.dependencies.nowMs();
       // A new worker on the machine is accepted only in a later incarnation, which it reaches if it gets no response.
@@ -157,7 +159,6 @@
       if (!node.isPersistedAsUsed) nodeRecords.markUsed(node);
       requestSchedulingCycle();
     }
-    if (!this.mayRespond()) return respond(NOT_ACCEPTED);
     this.respond(received, node, createStopCommandsForEndedJobs(heartbeat, replica));
   }
 
--- a/test/worker-restarts.test.ts
+++ b/test/worker-restarts.test.ts
@@ -129,3 +129,29 @@
     assert.equal(listWorkersOf(deployment, service.uid).length, 3);
   });
 }
+
+/**
+ * Guards against machines that are neither used nor returned after they came up while the leader could not answer: the time
+ * for which new workers are shown the token began with a heartbeat that got no answer, and never again.
+ */
+for (const seed of [1, 3, 4]) {
+  test(`machines that come up while no controller may answer them are used afterwards (seed ${seed})`, async () => {
+    const deployment = new SimulatedDeployment(seed, { ...SMALL_DEPLOYMENT, machineCapacity: 6 });
+    const array = deployment.submit({ tasks: 6, cpus: 4, runS: 20 });
+    await deployment.clock.runUntil(6_000);
+    assert.equal(deployment.cloud.machines.size, 6);
+    // Without the state service and the votes of the others, the leader's authority ends, and begins again later.
+    const leader = deployment.leader ?? '';
+    for (const member of deployment.members)
+      if (member !== leader) deployment.network.partition(leader, member);
+    deployment.state.refusedCallers.add('*');
+    await deployment.clock.runUntil(30_000);
+    assert.equal(deployment.rules.startCount, 0);
+    deployment.network.heal();
+    deployment.state.endOutage();
+    await deployment.clock.runUntil(100_000);
+    assert.equal(deployment.leader, leader);
+    assert.deepEqual(deployment.rules.violations, []);
+    assert.ok(deployment.isFinished(array));
+  });
+}
