A new leader counts leases from the end of the former leader's direct calls

A machine that restarts while a direct call of the former leader waits for its connection has a new worker that executes the call; its lease starts up to 3 s after the new term.

Cause: a new leader counted leases of earlier terms from 1.5 s after its term began, which covers relays and proxies only.

Change: counted from 3 s, the time limit of a direct call. Machines that a new leader never hears are waited for 1.5 s longer unless they are deleted.

--- a/src/leader/term-reconciliation.ts
+++ b/src/leader/term-reconciliation.ts
@@ -6,12 +6,28 @@
 import type { ClusterState, Node, Resources } from '../cluster/cluster-state.js';
 import { computeLeaseExpiryMs } from '../cluster/lease-rules.js';
 import type { NodeRecords } from '../cluster/node-records.js';
-import { LEASE_PROXY_READ_VALIDITY_MS, RELAY_RESPONSE_VALIDITY_MS } from '../constants.js';
+import {
+  COMMAND_CALL_TIMEOUT_MS,
+  LEASE_PROXY_READ_VALIDITY_MS,
+  RELAY_RESPONSE_VALIDITY_MS,
+} from '../constants.js';
 import { DELEGATED_LEASES_PREFIX, decodeDelegatedLeases } from '../state/records.js';
 import type { StateReplica } from '../state/state-replica.js';
 import type { KeyChange } from '../state/store-client.js';
 import type { CommitInTerm } from './term-transactions.js';
 
+/**
+ * Longest time in ms, from the start of a term, until the last lease that depends on an earlier term starts. The previous
+ * leader answered a node for the last time before this term began, but a proxy may have answered it for a moment longer,
+ * a response may have been in transit through a relay, and a new worker on a machine that has restarted may have accepted
+ * a direct call until that timed out.
+ */
+const MAX_EARLIER_TERM_DELAY_MS = Math.max(
+  LEASE_PROXY_READ_VALIDITY_MS,
+  RELAY_RESPONSE_VALIDITY_MS,
+  COMMAND_CALL_TIMEOUT_MS,
+);
+
 /** The result of the read that confirms the expiry of a node's lease. */
 export interface LeaseCheckResult {
   readonly node: Node;
@@ -66,10 +82,7 @@
     const nowMs = this.dependencies.nowMs();
     for (const [node, isUsed] of nodeRecords.load(this.dependencies.clusterState, getCapacity, nowMs)) {
       if (!isUsed) continue;
-      // The previous leader answered the node for the last time before this term began. A proxy may have answered it
-      // for a moment longer, and a response may still have been in transit through a relay.
-      const lastResponseMs = nowMs + Math.max(LEASE_PROXY_READ_VALIDITY_MS, RELAY_RESPONSE_VALIDITY_MS);
-      node.extendLease(computeLeaseExpiryMs(lastResponseMs, this.dependencies.leaseS));
+      node.extendLease(computeLeaseExpiryMs(nowMs + MAX_EARLIER_TERM_DELAY_MS, this.dependencies.leaseS));
       this.unreconciledNodes.add(node);
     }
     for (const { key, modRevision } of [...this.dependencies.replica.listPrefix(DELEGATED_LEASES_PREFIX)]) {
