--- /dev/null
+++ b/test/worker-restart-soak.test.ts
@@ -0,0 +1,19 @@
+/** Random scenarios with restarts of machines beside other faults, with fixed seeds. The long run is a script. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { findKnownRed } from './support/known-red.js';
+import { runSoakScenario } from './support/worker-restart-soak.js';
+
+const SEED_COUNT = 30;
+/** Fewest tasks that start in a scenario. */
+const MIN_STARTS = 50;
+
+for (let seed = 1; seed <= SEED_COUNT; seed++) {
+  const name = `rules hold and no job is left waiting while machines restart (seed ${seed})`;
+  test(name, { todo: findKnownRed(name) }, async () => {
+    const { violations, startCount, taskLosingRestartCount } = await runSoakScenario(seed);
+    assert.deepEqual(violations, []);
+    assert.ok(startCount >= MIN_STARTS, `only ${startCount} tasks started`);
+    assert.ok(taskLosingRestartCount > 0, 'no restart ended a task');
+  });
+}
