Accept the large heartbeats of a node with too many tasks; log and count rejected requests

Change: a heartbeat may have 512 KiB, which fits into a message between controllers; all other requests keep 64 KiB. The heartbeats that wait in a relay are bounded by their size, not only by their number. One log line in 10 s tells which request was rejected and why; GET /metrics gives counts, the largest heartbeat, and the tasks of the fullest node. The parts of a body are joined once, not at each packet. The simulated controllers refuse large requests as the real ones do.

--- a/src/api/codec.ts
+++ b/src/api/codec.ts
@@ -1,5 +1,5 @@
 /** Encodes and decodes the wire format of the user API. Only this module knows its paths, field names and values. */
-import { MAX_TASKS_PER_JOB } from '../constants.js';
+import { MAX_BODY_BYTES, MAX_HEARTBEAT_BYTES, MAX_TASKS_PER_JOB } from '../constants.js';
 import type { JobSpec, Rank } from '../state/records.js';
 import { isJsonObject, parseJson } from '../wire/json.js';
 
@@ -7,11 +7,18 @@
 export const HEALTH_PATH = '/healthz';
 /** Path to which workers send heartbeats. */
 export const HEARTBEAT_PATH = '/v1/report';
+/** Path of the metrics for operators. */
+export const METRICS_PATH = '/metrics';
 /** Path of submissions. The path of each job is below it. */
 export const SUBMISSIONS_PATH = '/submissions';
 /** Path segment below a job's path that cancels the job. */
 export const CANCEL_ACTION = 'abort';
 
+/** Returns the size limit, in bytes, of the body of a request with this start line. */
+export function getMaxRequestBytes(startLine: string): number {
+  return startLine.startsWith(`POST ${HEARTBEAT_PATH} `) ? MAX_HEARTBEAT_BYTES : MAX_BODY_BYTES;
+}
+
 /** Thrown if the body of a submission does not describe a job. */
 export class MalformedSubmissionError extends Error {
   override readonly name = 'MalformedSubmissionError';
--- a/src/api/user-api.ts
+++ b/src/api/user-api.ts
@@ -4,6 +4,7 @@
 import type { Heartbeat } from '../cluster/worker-messages.js';
 import { POLL_TIMEOUT_MS, SUBMISSION_TIMEOUT_MS } from '../constants.js';
 import type { HttpRequest, HttpResponse, ResponseCallback } from '../http/message.js';
+import { formatMetrics, METRICS_CONTENT_TYPE, type MetricSample } from '../metrics.js';
 import type { DependencyGraph } from '../pipeline/dependency-graph.js';
 import type { TeamQuota } from '../scheduler/team-quota.js';
 import type { StateReplica } from '../state/state-replica.js';
@@ -17,6 +18,7 @@
   HEALTH_PATH,
   HEARTBEAT_PATH,
   isJobUid,
+  METRICS_PATH,
   SUBMISSIONS_PATH,
 } from './codec.js';
 import { DependencyListWriter } from './dependency-list-writer.js';
@@ -46,6 +48,8 @@
   readonly isHealthy: () => boolean;
   /** Routes a worker's heartbeat. A heartbeat that is accepted is answered through `respond`. */
   readonly routeHeartbeat: (heartbeat: Heartbeat, body: string, respond: ResponseCallback) => HeartbeatRoute;
+  /** Returns the current values of all metrics. */
+  readonly collectMetrics: () => readonly MetricSample[];
 }
 
 /** The HTTP interface of every controller. It serves users and receives the workers' heartbeats. */
@@ -68,6 +72,7 @@
   handleRequest(request: HttpRequest, respond: ResponseCallback): void {
     if (request.path === HEARTBEAT_PATH) return this.handleHeartbeat(request, respond);
     if (request.path === HEALTH_PATH) return respond(this.createHealthResponse(request));
+    if (request.path === METRICS_PATH) return respond(this.createMetricsResponse(request));
     if (request.path === SUBMISSIONS_PATH) return this.handleSubmission(request, respond);
     if (request.path.startsWith(`${SUBMISSIONS_PATH}/`)) return this.handleJobRequest(request, respond);
     respond(errorResponse(404, 'no such path'));
@@ -78,6 +83,12 @@
     return this.dependencies.isHealthy() ? jsonResponse(200, { status: 'ok' }) : TRY_AGAIN;
   }
 
+  private createMetricsResponse({ method }: HttpRequest): HttpResponse {
+    if (method !== 'GET') return errorResponse(405, 'GET only');
+    const body = formatMetrics(this.dependencies.collectMetrics());
+    return { status: 200, body, contentType: METRICS_CONTENT_TYPE };
+  }
+
   private handleSubmission({ method, body }: HttpRequest, respond: ResponseCallback): void {
     if (method !== 'POST') return respond(errorResponse(405, 'POST only'));
     this.requestLimiter.run(SUBMISSION_TIMEOUT_MS, respond, () => this.submissionHandler.submit(body));
--- a/src/constants/http.ts
+++ b/src/constants/http.ts
@@ -2,6 +2,13 @@
 
 /** Maximum size of a request body, in bytes, as defined by the protocol. */
 export const MAX_BODY_BYTES = 64 * 1024;
+/**
+ * Maximum size of a heartbeat, in bytes. A worker that holds more tasks than it should keeps its lease, so that they can
+ * end. A relayed heartbeat has to fit into a frame between controllers.
+ */
+export const MAX_HEARTBEAT_BYTES = 512 * 1024;
+/** Minimum interval between two log lines about rejected requests, in milliseconds. */
+export const REJECTION_LOG_INTERVAL_MS = 10_000;
 /**
  * Maximum size of the request line and headers together, in bytes. Legitimate requests have a few hundred bytes. Larger
  * ones are rejected as a flood.
@@ -38,6 +45,11 @@
 export const MEMORY_CHECK_INTERVAL_MS = 1_000;
 /** Memory, in bytes, that a process takes in addition to its heap and buffers (see docs/operations.md). */
 export const PROCESS_BASE_BYTES = 50 * 1024 * 1024;
+/**
+ * Heartbeats that wait for the leader may take up to this share of the memory for data. Further workers are asked to turn
+ * to another controller.
+ */
+export const WAITING_HEARTBEATS_MEMORY_SHARE = 0.25;
 /** Data that waits to be sent to the peers may take up to this share of the memory for data, for all peers together. */
 export const PEER_MEMORY_SHARE = 0.06;
 /** A request must be complete within this many milliseconds. This guards against slow clients. */
--- a/src/constants/workers.ts
+++ b/src/constants/workers.ts
@@ -1,4 +1,5 @@
 /** Constants for workers: their heartbeats, commands and leases. */
+import { MAX_BODY_BYTES } from './http.js';
 
 /** Margin, in milliseconds, after the end of a worker's lease before its tasks count as ended. */
 export const LEASE_EXPIRY_MARGIN_MS = 300;
@@ -57,3 +58,17 @@
 export const RESERVED_ATTEMPT_NUMBERS = 2 ** 16;
 /** Maximum number of commands in one response to a heartbeat or one direct call. It keeps both far below 64 KiB. */
 export const MAX_COMMANDS_PER_RESPONSE = 200;
+/** Maximum size of a heartbeat without its tasks, in bytes. Names that need escapes take several bytes a character. */
+export const MAX_HEARTBEAT_ENVELOPE_BYTES = 4 * 1024;
+/**
+ * Maximum size of one task in a heartbeat, in bytes, with the longest value in each field of the protocol. It includes
+ * the separators, and the spaces that some JSON encoders put after them.
+ */
+export const MAX_TASK_STATUS_BYTES = 150;
+/**
+ * Maximum number of tasks on a node. The worker's heartbeats list all of them, exited ones included until they are
+ * acknowledged, and have to fit into a request.
+ */
+export const MAX_TASKS_PER_NODE = Math.floor(
+  (MAX_BODY_BYTES - MAX_HEARTBEAT_ENVELOPE_BYTES) / MAX_TASK_STATUS_BYTES,
+);
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -18,6 +18,7 @@
 import { Leadership } from './leader/leadership.js';
 import { RunningTaskCounts } from './leader/running-task-counts.js';
 import { MemoryGuard } from './memory-guard.js';
+import { ControllerMetrics } from './metrics.js';
 import type { PeerTransport } from './peers/peer-transport.js';
 import { DependencyGraph } from './pipeline/dependency-graph.js';
 import type { Settings } from './settings.js';
@@ -72,6 +73,7 @@
   private readonly heartbeatRelay: HeartbeatRelay;
   private readonly heartbeatRouter: HeartbeatRouter;
   private readonly runningTaskCounts: RunningTaskCounts;
+  private readonly metrics = new ControllerMetrics();
 
   constructor(private readonly environment: ControllerEnvironment) {
     const { settings, clock, log } = environment;
@@ -110,6 +112,11 @@
     this.userApi.handleRequest(request, respond);
   }
 
+  /** Records that a request was rejected with this status before it reached `handleRequest`. */
+  recordRejectedRequest(status: number): void {
+    this.metrics.recordRejectedRequest(status);
+  }
+
   /** Resigns from the current term after an unexpected error. The next leader rebuilds its state from the state store. */
   resignLeadership(): void {
     this.election.resign();
@@ -238,18 +245,24 @@
       isStoreAvailable: () => this.storeClient.isStoreAvailable,
       isHealthy: () => this.election.leaderView.isHealthy,
       isShortOfMemory: () => this.memoryGuard.isUnderPressure,
-      routeHeartbeat: (heartbeat, body, respond) => this.heartbeatRouter.route(heartbeat, body, respond),
+      routeHeartbeat: (heartbeat, body, respond) => {
+        this.metrics.recordHeartbeat(body.length);
+        return this.heartbeatRouter.route(heartbeat, body, respond);
+      },
+      collectMetrics: () => this.metrics.collect(this.leadership.leader?.measureTaskSlotUsage()),
     });
   }
 
   private createHeartbeatRelay(): HeartbeatRelay {
     const { settings, clock, random, log, peerTransport } = this.environment;
+    const { maxWaitingHeartbeatBytes } = divideMemory(settings.memoryBytes, settings.peers.length);
     return new HeartbeatRelay({
       clock,
       peerTransport,
       log,
       random,
       maxPending: Math.ceil(settings.socketLimits.maxClientConnections * WAITING_HEARTBEATS_SOCKET_SHARE),
+      maxPendingBytes: maxWaitingHeartbeatBytes,
       getReachableLeader: () => this.election.leaderView.getReachableLeader(),
       getRefusingLeader: () => this.heartbeatRouter.findRefusingLeader(),
       handleLocally: (body, respond) => this.heartbeatRouter.handleLocally(body, respond),
--- a/src/http/message.ts
+++ b/src/http/message.ts
@@ -16,6 +16,8 @@
   body: string;
   /** Value of the `Retry-After` header in seconds. Only handlers set it; the client ignores the header. */
   retryAfterS?: number;
+  /** Media type of the body. Defaults to JSON. */
+  contentType?: string;
   /** Set by a handler to make the server close the connection after this response. */
   closesConnection?: boolean;
 }
--- a/src/http/parser.ts
+++ b/src/http/parser.ts
@@ -26,6 +26,9 @@
   }
 }
 
+/** Returns the largest body, in bytes, of a message with this start line. */
+export type BodyLimit = (startLine: string) => number;
+
 /** Pattern of a header name. */
 const TOKEN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
 const EMPTY_BUFFER = Buffer.alloc(0);
@@ -67,11 +70,18 @@
   /** Total size of the chunks whose size lines have been read, in bytes. */
   private bodyBytes = 0;
   private trailerBytes = 0;
+  /** Bytes of an incomplete fixed-length body that follow those in `buffer`. */
+  private bodyParts: Buffer[] = [];
+  private bodyPartsBytes = 0;
+  private readonly getMaxBodyBytes: BodyLimit;
 
   constructor(
     private readonly kind: 'request' | 'response',
-    private readonly maxBodyBytes: number,
-  ) {}
+    /** Size limit of all bodies in bytes, or the limit of each message. */
+    maxBodyBytes: number | BodyLimit,
+  ) {
+    this.getMaxBodyBytes = typeof maxBodyBytes === 'number' ? () => maxBodyBytes : maxBodyBytes;
+  }
 
   /** Whether no byte of the next message has been read. */
   get isIdle(): boolean {
@@ -80,7 +90,12 @@
 
   /** Parses more bytes and returns the messages that they complete. Throws an `HttpSyntaxError` for invalid input. */
   feed(data: Buffer): RawMessage[] {
-    this.buffer = this.buffer.length === 0 ? data : Buffer.concat([this.buffer, data]);
+    if (this.isWithinBody(data)) {
+      this.bodyParts.push(data);
+      this.bodyPartsBytes += data.length;
+      return [];
+    }
+    this.appendToBuffer(data);
     const complete: RawMessage[] = [];
     for (;;) {
       const message = this.parseNext();
@@ -89,6 +104,19 @@
     }
   }
 
+  /** Whether a fixed-length body is incomplete even with this data. Its parts are joined once, when it is complete. */
+  private isWithinBody(data: Buffer): boolean {
+    const receivedBytes = this.buffer.length + this.bodyPartsBytes + data.length;
+    return this.stage === 'fixedLengthBody' && receivedBytes < this.expectedBytes;
+  }
+
+  private appendToBuffer(data: Buffer): void {
+    if (this.buffer.length === 0 && this.bodyParts.length === 0) this.buffer = data;
+    else this.buffer = Buffer.concat([this.buffer, ...this.bodyParts, data]);
+    this.bodyParts = [];
+    this.bodyPartsBytes = 0;
+  }
+
   /** Parses the next part of a message. Returns the message if that part completes it. */
   private parseNext(): RawMessage | 'incomplete' | undefined {
     switch (this.stage) {
@@ -103,7 +131,7 @@
         if (!/^[0-9a-fA-F]{1,8}$/.test(line)) throw new HttpSyntaxError(400, 'invalid chunk size');
         this.expectedBytes = parseInt(line, 16);
         this.bodyBytes += this.expectedBytes;
-        if (this.bodyBytes > this.maxBodyBytes) throw new HttpSyntaxError(413, 'body exceeds the size limit');
+        this.checkBodySize(this.bodyBytes);
         this.stage = this.expectedBytes === 0 ? 'trailer' : 'chunkData';
         return undefined;
       }
@@ -146,6 +174,13 @@
     return this.consume(end + 2).toString('latin1', 0, end);
   }
 
+  private checkBodySize(bytes: number): void {
+    const { startLine } = this.message!;
+    const maxBytes = this.getMaxBodyBytes(startLine);
+    if (bytes > maxBytes)
+      throw new HttpSyntaxError(413, `${startLine}: body of ${bytes} bytes exceeds the limit of ${maxBytes}`);
+  }
+
   private finishMessage(body: Buffer): RawMessage {
     const message = this.message!;
     message.body = body;
@@ -213,7 +248,7 @@
     if (length === undefined) return this.finishMessage(EMPTY_BUFFER);
     if (!/^\d{1,10}$/.test(length)) throw new HttpSyntaxError(400, 'invalid Content-Length header');
     this.expectedBytes = Number(length);
-    if (this.expectedBytes > this.maxBodyBytes) throw new HttpSyntaxError(413, 'body exceeds the size limit');
+    this.checkBodySize(this.expectedBytes);
     this.stage = 'fixedLengthBody';
     return undefined;
   }
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -10,7 +10,8 @@
   REQUEST_READ_TIMEOUT_MS,
 } from '../constants.js';
 import type { RequestHandler, HttpRequest, HttpResponse } from './message.js';
-import { HttpParser, HttpSyntaxError, type RawMessage } from './parser.js';
+import { HttpParser, HttpSyntaxError, type BodyLimit, type RawMessage } from './parser.js';
+import { RejectionLog } from './rejection-log.js';
 
 /** Reason phrases by status code. */
 const REASON_PHRASES: Record<number, string> = {
@@ -32,9 +33,12 @@
 export function formatResponse(response: HttpResponse, keepAlive: boolean): string {
   const retryAfterHeader =
     response.retryAfterS === undefined ? '' : `Retry-After: ${response.retryAfterS}\r\n`;
+  const { contentType } = response;
+  const contentTypeHeader =
+    contentType === undefined ? 'Content-Type: application/json' : `Content-Type: ${contentType}`;
   return (
     `HTTP/1.1 ${response.status} ${REASON_PHRASES[response.status] ?? 'Status'}\r\n` +
-    `Content-Type: application/json\r\nContent-Length: ${Buffer.byteLength(response.body)}\r\n` +
+    `${contentTypeHeader}\r\nContent-Length: ${Buffer.byteLength(response.body)}\r\n` +
     `${retryAfterHeader}${keepAlive ? '' : 'Connection: close\r\n'}\r\n${response.body}`
   );
 }
@@ -55,7 +59,7 @@
  * and later bytes wait in the socket.
  */
 class ServerConnection {
-  private readonly parser = new HttpParser('request', MAX_BODY_BYTES);
+  private readonly parser: HttpParser;
   private readonly pendingRequests: RawMessage[] = [];
   private isHandlingRequest = false;
   /** Whether the client has ended its side of the connection. */
@@ -72,7 +76,10 @@
     private readonly onResponse: () => void,
     /** Whether connections are scarce. If so, each one is closed after its response so that another client can connect. */
     private readonly areConnectionsScarce: () => boolean,
+    getMaxBodyBytes: BodyLimit,
+    private readonly rejectionLog: RejectionLog,
   ) {
+    this.parser = new HttpParser('request', getMaxBodyBytes);
     this.lastActivityMs = clock.steadyMs();
     socket.setNoDelay(true);
     socket.on('data', (data: Buffer) => this.onData(data));
@@ -111,6 +118,7 @@
       this.pendingRequests.push(...this.parser.feed(data));
     } catch (error) {
       const status = error instanceof HttpSyntaxError ? error.status : 400;
+      this.rejectionLog.record(status, this.socket.remoteAddress, error);
       this.socket.end(formatResponse({ status, body: '{"error":"malformed"}' }, false));
       this.socket.removeAllListeners('data');
       this.socket.destroySoon();
@@ -154,6 +162,14 @@
   }
 }
 
+/** Optional settings of an HTTP server. */
+export interface HttpServerOptions {
+  /** The largest body of each request. Defaults to the limit of the protocol. */
+  readonly getMaxBodyBytes?: BodyLimit;
+  /** Called with the status of each request that is rejected before the handler gets it. */
+  readonly onRejected?: (status: number) => void;
+}
+
 /**
  * Listens on `address` ("ip:port") and passes each request to `handler`. Resolves when the server is listening. Connections
  * beyond `maxConnections` are closed at once unless an abandoned one can be closed instead.
@@ -164,7 +180,10 @@
   handler: RequestHandler,
   clock: Clock,
   log: Logger,
+  options: HttpServerOptions = {},
 ): Promise<Server> {
+  const { getMaxBodyBytes = () => MAX_BODY_BYTES, onRejected = () => undefined } = options;
+  const rejectionLog = new RejectionLog(clock, log, onRejected);
   const { host, port } = splitAddress(address);
   // Ordered by last use, longest unused first.
   const connections = new Map<Socket, ServerConnection>();
@@ -203,7 +222,16 @@
       connections.delete(socket);
       connections.set(socket, connection);
     };
-    const connection = new ServerConnection(socket, handler, clock, log, markUsed, areConnectionsScarce);
+    const connection = new ServerConnection(
+      socket,
+      handler,
+      clock,
+      log,
+      markUsed,
+      areConnectionsScarce,
+      getMaxBodyBytes,
+      rejectionLog,
+    );
     connections.set(socket, connection);
     socket.on('close', () => connections.delete(socket));
   });
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -3,6 +3,7 @@
  * when to run scheduling cycles.
  */
 import { Actor, assertNever } from '@pumicehinge/runtime';
+import { measureTaskSlotUsage, type TaskSlotUsage } from '../cluster/task-slot-usage.js';
 import {
   FLEET_REVIEW_MIN_INTERVAL_MS,
   FLEET_REVIEW_INTERVAL_RATIO,
@@ -67,6 +68,11 @@
     return this.components.cluster.jobStore.countRunningTasks();
   }
 
+  /** Measures how many tasks the nodes hold, for display. */
+  measureTaskSlotUsage(): TaskSlotUsage {
+    return measureTaskSlotUsage(this.components.cluster.clusterState.nodes.values());
+  }
+
   protected receive(message: LeaderMessage): void {
     const { cluster, heartbeatHandler, cloudEventHandler } = this.components;
     switch (message.kind) {
--- a/src/main.ts
+++ b/src/main.ts
@@ -4,6 +4,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { systemClock } from '@pumicehinge/runtime';
+import { getMaxRequestBytes } from './api/codec.js';
 import { MAX_POOL_CONNECTIONS } from './constants.js';
 import { Controller } from './controller.js';
 import { SocketHttpClient } from './http/client.js';
@@ -64,6 +65,10 @@
       (request, respond) => controller.handleRequest(request, respond),
       clock,
       log,
+      {
+        getMaxBodyBytes: getMaxRequestBytes,
+        onRejected: (status) => controller.recordRejectedRequest(status),
+      },
     );
   } catch (error) {
     log.error({ err: error }, 'cannot listen on the public or the peer address');
--- a/src/simulation/deployment-options.ts
+++ b/src/simulation/deployment-options.ts
@@ -18,6 +18,16 @@
  */
 export const COMMAND_TRANSIT_S = 8;
 
+/** An instance type that the simulated cloud offers. */
+export interface MachineType {
+  sku: string;
+  cpus: number;
+  memGb: number;
+  /** Seconds that a machine of the type takes to boot. */
+  bootS: number;
+  price: number;
+}
+
 /** Options of a simulated deployment. */
 export interface DeploymentOptions {
   controllers: number;
@@ -27,12 +37,19 @@
   cpuLimitScale: number;
   /** Zones in which the cloud has machines. Defaults to all zones. */
   machineZones?: string[];
-  /** Seconds that a machine takes to boot. Defaults to 8. */
+  /** The only instance type of the cloud. Defaults to a small one. */
+  machineType?: MachineType;
+  /** Seconds that a machine takes to boot. Defaults to the boot time of the instance type. */
   bootS?: number;
   /** Seconds that a worker takes to fetch an image. Defaults to 1. */
   fetchS?: number;
   /** Seconds between two reports of a worker. Defaults to the interval of a small deployment. */
   reportS?: number;
+  /**
+   * Shortest time in seconds between two reports that changes cause. By default, each change causes a report of its
+   * own.
+   */
+  minReportIntervalS?: number;
   /** Rate limits of the state service and the cloud. Default to those of a small deployment. */
   rates?: { rps: number; writesPerS: number; cloudRps: number };
   /**
@@ -49,7 +66,7 @@
 /** Seconds that a worker takes to fetch an image, unless the options say otherwise. */
 export const DEFAULT_FETCH_S = 1;
 /** The instance type that the simulated cloud offers. */
-export const MACHINE_TYPE = { sku: 'm4', cpus: 4, memGb: 16, bootS: 8, price: 0.2 };
+export const MACHINE_TYPE: MachineType = { sku: 'm4', cpus: 4, memGb: 16, bootS: 8, price: 0.2 };
 
 const SMALL_RATES = { rps: 200, writesPerS: 80, cloudRps: 6 };
 
--- a/src/simulation/loopback-users.ts
+++ b/src/simulation/loopback-users.ts
@@ -25,7 +25,17 @@
   submit(kind: SimulatedJob['kind'], tasks: number, runS: number): string {
     const uid = `job-${String(this.jobCount++).padStart(6, '0')}`;
     this.rules.trackJob({
-      ...{ uid, team: 'blue', kind, tasks, cpus: 2, spot: true, zoneSpread: false, singleZone: false },
+      ...{
+        uid,
+        team: 'blue',
+        kind,
+        tasks,
+        cpus: 2,
+        memGb: 4,
+        spot: true,
+        zoneSpread: false,
+        singleZone: false,
+      },
       ...{ zone: null, runS, deadlineS: null, dependencies: [] },
     });
     const isService = kind === 'service';
--- a/src/simulation/rule-checker.ts
+++ b/src/simulation/rule-checker.ts
@@ -11,6 +11,8 @@
   kind: 'array' | 'service';
   tasks: number;
   cpus: number;
+  /** Memory of one task in GB. */
+  memGb: number;
   spot: boolean;
   zoneSpread: boolean;
   singleZone: boolean;
--- a/src/simulation/simulated-deployment.ts
+++ b/src/simulation/simulated-deployment.ts
@@ -2,6 +2,7 @@
 import { pino } from 'pino';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { getMaxRequestBytes } from '../api/codec.js';
 import { Controller } from '../controller.js';
 import type { HttpResponse } from '../http/message.js';
 import { ProcessClock, SimulatedClock } from '@pumicehinge/runtime/simulated-clock';
@@ -18,6 +19,7 @@
   SMALL_DEPLOYMENT,
   ZONES,
   type DeploymentOptions,
+  type MachineType,
 } from './deployment-options.js';
 import { SimulatedNetwork, SimulatedPeerNetwork } from './network.js';
 import { RuleChecker, type SimulatedJob } from './rule-checker.js';
@@ -31,6 +33,7 @@
   kind: 'array',
   tasks: 4,
   cpus: 2,
+  memGb: 4,
   spot: false,
   zoneSpread: false,
   singleZone: false,
@@ -55,6 +58,7 @@
   private readonly finishedTasks = new Set<string>();
   private readonly userHttpClient;
   private jobCount = 0;
+  private readonly machineType: MachineType;
 
   /** Time after which no fault is active. Jobs must not be left waiting after it. */
   faultsEndMs = Infinity;
@@ -66,6 +70,7 @@
     private readonly options: DeploymentOptions = SMALL_DEPLOYMENT,
   ) {
     this.members = listMembers(options);
+    this.machineType = options.machineType ?? MACHINE_TYPE;
     const generator = xoroshiro128plus(seed);
     this.random = () => uniformFloat64(generator);
     this.network = new SimulatedNetwork(this.clock, this.random, options.createObserver?.(this.clock));
@@ -80,11 +85,12 @@
       reportS: this.options.reportS ?? REPORT_S,
       leaseS: LEASE_S,
       fetchS: options.fetchS ?? DEFAULT_FETCH_S,
+      minReportIntervalS: options.minReportIntervalS,
     };
     this.members.forEach((member) => this.network.setZone(member, createSettings(member, options).zone));
     this.cloud = new SimulatedCloud(
       this.clock,
-      [{ ...MACHINE_TYPE, bootS: options.bootS ?? MACHINE_TYPE.bootS }],
+      [{ ...this.machineType, bootS: options.bootS ?? this.machineType.bootS }],
       options.machineZones ?? ZONES,
       options.machineCapacity,
       (machine) => {
@@ -131,6 +137,11 @@
       log: pino({ level: 'silent' }),
     });
     this.network.attach(member, `${member}:80`, (_from, method, target, body) => {
+      // The HTTP server of a controller rejects larger requests.
+      if (Buffer.byteLength(body ?? '') > getMaxRequestBytes(`${method} ${target} HTTP/1.1`)) {
+        controller.recordRejectedRequest(413);
+        return Promise.resolve({ status: 413, body: '{}' });
+      }
       const queryIndex = target.indexOf('?');
       const request = {
         method,
@@ -150,7 +161,7 @@
   private listRunningMachines(): { name: string; zone: string; spot: boolean; cpus: number }[] {
     return [...this.cloud.machines.values()]
       .filter((host) => host.worker)
-      .map(({ name, zone, spot }) => ({ name, zone, spot, cpus: MACHINE_TYPE.cpus }));
+      .map(({ name, zone, spot }) => ({ name, zone, spot, cpus: this.machineType.cpus }));
   }
 
   /** Kills a controller and starts it again after a delay. */
@@ -296,7 +307,7 @@
       pieces: job.tasks,
       cpus: job.cpus,
       accelerators: 0,
-      memGb: 4,
+      memGb: job.memGb,
       builds: null,
       yard: job.zone,
       oneZone: job.singleZone,
--- a/src/simulation/simulated-worker.ts
+++ b/src/simulation/simulated-worker.ts
@@ -30,6 +30,16 @@
   address?: string;
 }
 
+/** The times of a worker, in seconds. */
+export interface WorkerTiming {
+  /** Time between two reports. */
+  reportS: number;
+  leaseS: number;
+  fetchS: number;
+  /** Shortest time between two reports that changes cause. Undefined if each change causes a report of its own. */
+  minReportIntervalS?: number | undefined;
+}
+
 /** A command of a controller, as the protocol encodes it. */
 interface Command {
   verb: string;
@@ -48,6 +58,9 @@
   private leaseRenewedMs: number;
   private controllerIndex: number;
   private isReporting = false;
+  private lastReportMs = -Infinity;
+  /** When the next report is due, if changes share reports. Infinity if none is due. */
+  private nextReportMs = Infinity;
   private isAlive = true;
   /** Counts the workers that have run on this machine. What an earlier one waited for never reaches a later one. */
   private workerNumber = 1;
@@ -58,7 +71,7 @@
   constructor(
     readonly machine: WorkerMachine,
     private readonly controllers: { member: string; address: string }[],
-    private readonly timing: { reportS: number; leaseS: number; fetchS: number },
+    private readonly timing: WorkerTiming,
     private readonly clock: Clock,
     private readonly network: Pick<SimulatedNetwork, 'attach' | 'createHttpClient' | 'dropHeldRequests'>,
     private readonly rules: RuleChecker,
@@ -99,6 +112,7 @@
     this.reportNumber = 0;
     this.token = 0;
     this.isReporting = false;
+    this.nextReportMs = Infinity;
     this.isHanging = false;
     this.leaseRenewedMs = this.clock.steadyMs();
     this.network.dropHeldRequests(this.machine.name);
@@ -161,6 +175,7 @@
   }
 
   private scheduleReport(delayMs: number): void {
+    if (this.timing.minReportIntervalS !== undefined) return this.scheduleNextReport(delayMs);
     const { workerNumber } = this;
     this.clock.setTimer(delayMs, () => {
       if (!this.isAlive || workerNumber !== this.workerNumber) return;
@@ -169,10 +184,32 @@
     });
   }
 
+  /** Reports a change of the tasks soon. */
+  private reportChange(): void {
+    const { minReportIntervalS } = this.timing;
+    if (minReportIntervalS === undefined) return this.scheduleReport(500 * this.random());
+    this.scheduleNextReport(this.lastReportMs + minReportIntervalS * 1000 - this.clock.steadyMs());
+  }
+
+  /** Schedules the only report that is due, unless it is due earlier. It waits while another one is in flight. */
+  private scheduleNextReport(delayMs: number): void {
+    const dueMs = this.clock.steadyMs() + Math.max(1, delayMs);
+    if (this.nextReportMs <= dueMs) return;
+    this.nextReportMs = dueMs;
+    this.clock.setTimer(dueMs - this.clock.steadyMs(), () => {
+      if (this.nextReportMs !== dueMs) return;
+      this.nextReportMs = Infinity;
+      if (!this.isAlive) return;
+      if (this.isHanging || this.isReporting) this.scheduleNextReport(200);
+      else void this.sendReport();
+    });
+  }
+
   private async sendReport(): Promise<void> {
     if (this.isReporting) return;
     this.isReporting = true;
     const sentMs = this.clock.steadyMs();
+    this.lastReportMs = sentMs;
     const { session, workerNumber } = this;
     const controller = this.controllers[this.controllerIndex]!;
     let response: HttpResponse | undefined;
@@ -288,6 +325,6 @@
       this.rules.recordTaskEnd(task.uid, task.index, this.machine.name, cause === 'done');
     task.phase = 'exited';
     task.cause = cause;
-    this.scheduleReport(500 * this.random());
+    this.reportChange();
   }
 }
--- a/src/sizing.ts
+++ b/src/sizing.ts
@@ -9,6 +9,7 @@
   PROCESS_BASE_BYTES,
   RESERVED_SOCKETS,
   MAX_RESERVED_SOCKETS_SHARE,
+  WAITING_HEARTBEATS_MEMORY_SHARE,
   WORKER_CALL_SOCKET_SHARE,
 } from './constants.js';
 
@@ -41,6 +42,8 @@
   maxResponseBytes: number;
   /** Size limit of the data that waits to be sent to one peer. */
   maxPeerBufferBytes: number;
+  /** Size limit of the heartbeats that wait for the leader's response. */
+  maxWaitingHeartbeatBytes: number;
 }
 
 /**
@@ -57,5 +60,6 @@
       MAX_PEER_FRAME_BYTES,
       Math.floor((dataBytes * PEER_MEMORY_SHARE) / Math.max(1, peerCount)),
     ),
+    maxWaitingHeartbeatBytes: Math.floor(dataBytes * WAITING_HEARTBEATS_MEMORY_SHARE),
   };
 }
--- a/src/workers/heartbeat-handler.ts
+++ b/src/workers/heartbeat-handler.ts
@@ -10,6 +10,7 @@
   type HeartbeatVersion,
 } from '../cluster/lease-rules.js';
 import type { NodeRecords } from '../cluster/node-records.js';
+import { TaskLimitMonitor } from '../cluster/task-slot-usage.js';
 import type { Heartbeat, WorkerCommand } from '../cluster/worker-messages.js';
 import { FIRST_CONTACT_WINDOW_MS } from '../constants.js';
 import type { CancellationWatermark } from '../election/cancellation-watermark.js';
@@ -67,8 +68,10 @@
 export class HeartbeatHandler {
   /** The response without commands. It is encoded once, because most heartbeats get it. */
   private readonly emptyResponse: HttpResponse;
+  private readonly taskLimitMonitor: TaskLimitMonitor;
 
   constructor(private readonly dependencies: HeartbeatHandlerDependencies) {
+    this.taskLimitMonitor = new TaskLimitMonitor(dependencies.log);
     this.emptyResponse = {
       status: 200,
       body: formatJson(encodeCommands(dependencies.term.fencingToken, [])),
@@ -190,6 +193,7 @@
       this.dependencies.onReconciled(node);
       this.dependencies.requestSchedulingCycle();
     }
+    this.taskLimitMonitor.check(node);
     if (node.attempts.size > 0) node.markBusy();
     else if (node.idleSinceMs === Infinity) node.markIdle(this.dependencies.nowMs());
     if (!node.isPersistedAsUsed) this.dependencies.nodeRecords.markUsed(node);
--- a/src/workers/heartbeat-relay.ts
+++ b/src/workers/heartbeat-relay.ts
@@ -25,6 +25,8 @@
   readonly getRefusingLeader: () => string | undefined;
   /** Largest number of heartbeats that may wait for a response at the same time. */
   readonly maxPending: number;
+  /** Largest total size, in bytes, of the heartbeats that wait for a response at the same time. */
+  readonly maxPendingBytes: number;
   /**
    * Handles on this controller a heartbeat that the leader does not answer. Returns false if that is not possible now.
    */
@@ -70,6 +72,8 @@
    * execute its start commands.
    */
   private lastRequestId: number;
+  /** Total size of the pending heartbeats, in bytes. */
+  private pendingBytes = 0;
   private isReviewScheduled = false;
 
   constructor(private readonly dependencies: HeartbeatRelayDependencies) {
@@ -96,8 +100,12 @@
   }
 
   private onHeartbeat(body: string, respond: ResponseCallback): void {
-    // Each pending heartbeat holds a socket, and users need sockets too. A rejected worker tries another controller.
-    if (this.pendingHeartbeats.size >= this.dependencies.maxPending) return respond(UNAVAILABLE);
+    // Each pending heartbeat holds a socket, and users need sockets too. Its size grows with the tasks of its node. A
+    // rejected worker tries another controller.
+    const { maxPending, maxPendingBytes } = this.dependencies;
+    const isFull =
+      this.pendingHeartbeats.size >= maxPending || this.pendingBytes + body.length > maxPendingBytes;
+    if (isFull) return respond(UNAVAILABLE);
     const receivedMs = this.dependencies.clock.steadyMs();
     this.forward({ body, respond, receivedMs, lastForwardedTo: undefined, lastForwardedMs: NaN });
     this.scheduleReview();
@@ -110,6 +118,7 @@
   private forward(heartbeat: PendingHeartbeat): void {
     const requestId = ++this.lastRequestId;
     this.pendingHeartbeats.set(requestId, heartbeat);
+    this.pendingBytes += heartbeat.body.length;
     const leader = this.dependencies.getReachableLeader();
     if (leader === undefined) return;
     // If the message was dropped, the next review forwards the heartbeat.
@@ -122,7 +131,7 @@
   private onRelayedResponse({ id, status, body }: RelayedResponse): void {
     const heartbeat = this.pendingHeartbeats.get(id);
     if (!heartbeat) return;
-    this.pendingHeartbeats.delete(id);
+    this.removePending(id, heartbeat);
     const isValid =
       this.dependencies.clock.steadyMs() - heartbeat.lastForwardedMs < RELAY_RESPONSE_VALIDITY_MS;
     heartbeat.respond(isValid ? { status, body } : UNAVAILABLE);
@@ -158,20 +167,24 @@
       heartbeat.lastForwardedTo === undefined ||
       nowMs - heartbeat.lastForwardedMs >= RELAY_RESPONSE_VALIDITY_MS;
     if (mayBeHandledLocally && this.dependencies.handleLocally(heartbeat.body, heartbeat.respond)) {
-      this.pendingHeartbeats.delete(requestId);
+      this.removePending(requestId, heartbeat);
     } else if (nowMs - heartbeat.receivedMs >= RELAY_TIMEOUT_MS) {
       this.completePending(requestId, heartbeat, UNAVAILABLE);
     } else if (leader !== undefined && leader !== heartbeat.lastForwardedTo) {
-      this.pendingHeartbeats.delete(requestId);
+      this.removePending(requestId, heartbeat);
       this.forward(heartbeat);
     }
   }
 
   private completePending(requestId: number, heartbeat: PendingHeartbeat, response: HttpResponse): void {
-    this.pendingHeartbeats.delete(requestId);
+    this.removePending(requestId, heartbeat);
     heartbeat.respond(response);
   }
 
+  private removePending(requestId: number, heartbeat: PendingHeartbeat): void {
+    if (this.pendingHeartbeats.delete(requestId)) this.pendingBytes -= heartbeat.body.length;
+  }
+
   private scheduleReview(): void {
     if (this.isReviewScheduled || this.pendingHeartbeats.size === 0) return;
     this.isReviewScheduled = true;
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -86,6 +86,29 @@
   }
 });
 
+test('the parser applies the size limit of each start line, and joins the parts of a large body', () => {
+  const LARGE_BODY = 'x'.repeat(3 * MAX_BODY_BYTES) + 'y';
+  const getLimit = (startLine: string): number =>
+    startLine.startsWith('POST /large ') ? LARGE_BODY.length : MAX_BODY_BYTES;
+  const encode = (path: string, body: string): Buffer =>
+    Buffer.from(`POST ${path} HTTP/1.1\r\n${HOST_HEADER}Content-Length: ${body.length}\r\n\r\n${body}`);
+  const parser = new HttpParser('request', getLimit);
+  const bytes = Buffer.concat([encode('/large', LARGE_BODY), encode('/small', 'z')]);
+  const bodies: string[] = [];
+  for (let offset = 0; offset < bytes.length; offset += 1_400)
+    bodies.push(...parser.feed(bytes.subarray(offset, offset + 1_400)).map(({ body }) => body.toString()));
+  assert.deepEqual(bodies, [LARGE_BODY, 'z']);
+  for (const [path, body] of [
+    ['/small', LARGE_BODY],
+    ['/large', `${LARGE_BODY}z`],
+  ] as const)
+    assert.throws(
+      () => new HttpParser('request', getLimit).feed(encode(path, body)),
+      (error: unknown) => error instanceof HttpSyntaxError && error.status === 413,
+      path,
+    );
+});
+
 test('the parser rejects invalid requests', () => {
   for (const [name, bytes, status] of INVALID_REQUESTS) {
     const parser = new HttpParser('request', MAX_BODY_BYTES);
--- a/test/sizing.test.ts
+++ b/test/sizing.test.ts
@@ -45,20 +45,19 @@
     rejectUsersAboveMib: number,
     maxResponseMib: number,
     maxPeerBufferMib: number,
+    maxWaitingHeartbeatMib: number,
   ][] = [
-    [108, 2, 49, 6, 2],
-    [127, 6, 65, 8, 1],
-    [250, 2, 170, 16, 6],
-    [1000, 6, 808, 16, 10],
-    [40, 2, 9, 1, 1],
+    [108, 2, 49, 6, 2, 15],
+    [127, 6, 65, 8, 1, 19],
+    [250, 2, 170, 16, 6, 50],
+    [1000, 6, 808, 16, 10, 238],
+    [40, 2, 9, 1, 1, 3],
   ];
   for (const [memoryMib, peerCount, ...expected] of memoryCases) {
-    const { rejectUsersAboveBytes, maxResponseBytes, maxPeerBufferBytes } = divideMemory(
-      memoryMib * BYTES_PER_MIB,
-      peerCount,
-    );
+    const limits = divideMemory(memoryMib * BYTES_PER_MIB, peerCount);
+    const { rejectUsersAboveBytes, maxResponseBytes, maxPeerBufferBytes, maxWaitingHeartbeatBytes } = limits;
     assert.deepEqual(
-      [rejectUsersAboveBytes, maxResponseBytes, maxPeerBufferBytes].map((bytes) =>
+      [rejectUsersAboveBytes, maxResponseBytes, maxPeerBufferBytes, maxWaitingHeartbeatBytes].map((bytes) =>
         Math.round(bytes / BYTES_PER_MIB),
       ),
       expected,
--- a/test/workers/heartbeat-relay.test.ts
+++ b/test/workers/heartbeat-relay.test.ts
@@ -12,6 +12,7 @@
 import { HeartbeatRelay } from '../../src/workers/heartbeat-relay.js';
 
 const MAX_PENDING = 3;
+const MAX_PENDING_BYTES = 1_000;
 
 /** Creates a relay that has received one heartbeat. */
 function setUp(random: () => number = () => 0) {
@@ -37,6 +38,7 @@
       onMessage: (listener) => (deliverPeerMessage = listener),
     },
     maxPending: MAX_PENDING,
+    maxPendingBytes: MAX_PENDING_BYTES,
     getReachableLeader: () => cluster.leader,
     getRefusingLeader: () => cluster.refusingLeader,
     handleLocally: (_body, respond) => {
@@ -47,8 +49,8 @@
   const responses: HttpResponse[] = [];
   const relayResponse = (id: number, body: string): void =>
     deliverPeerMessage('c1', { kind: 'relayed', id, status: 200, body });
-  const sendHeartbeat = (): void =>
-    relay.send({ kind: 'heartbeat', body: '{}', respond: (response) => responses.push(response) });
+  const sendHeartbeat = (body = '{}'): void =>
+    relay.send({ kind: 'heartbeat', body, respond: (response) => responses.push(response) });
   sendHeartbeat();
   return { clock, cluster, forwarded, responses, relayResponse, sendHeartbeat };
 }
@@ -146,6 +148,22 @@
   assert.equal(responses.length, 3);
 });
 
+// The size of a heartbeat grows with the tasks of its node.
+test('heartbeats beyond the limit of their total size are rejected until others have been answered', () => {
+  const { forwarded, responses, relayResponse, sendHeartbeat } = setUp();
+  const largeBody = ' '.repeat(MAX_PENDING_BYTES - 2);
+  sendHeartbeat(largeBody);
+  sendHeartbeat();
+  assert.deepEqual(
+    responses.map(({ status }) => status),
+    [503],
+  );
+  relayResponse(forwarded[1]!.id, 'a');
+  sendHeartbeat(largeBody);
+  assert.equal(forwarded.length, 3);
+  assert.equal(responses.length, 2);
+});
+
 test('a heartbeat whose message to the leader was dropped is forwarded at the next review', async () => {
   const { clock, cluster, forwarded, responses, relayResponse, sendHeartbeat } = setUp();
   cluster.dropsMessages = true;
