Loopback cluster: a file of operator settings for each controller; one was read half written

Cause: all controllers shared operator.json, which was written again before each start. A controller that was just starting read an empty file and ended with exit code 2 ('Unexpected end of JSON input' in its log). With two of three gone, nobody was left to take the role. So it was the stand-in, not the roles.

Change: each controller has a file of its own.

--- a/src/simulation/loopback-cluster.ts
+++ b/src/simulation/loopback-cluster.ts
@@ -153,7 +153,8 @@
     const { folder, operatorSettings, nodeFlags, environment } = this.options;
     const file = join(folder, `${member}.toml`);
     writeFileSync(file, this.formatSettings(member));
-    const operatorFile = join(folder, 'operator.json');
+    // Each controller has a file of its own. Another one may read its file at this moment.
+    const operatorFile = join(folder, `${member}-operator.json`);
     if (operatorSettings !== undefined) writeFileSync(operatorFile, JSON.stringify(operatorSettings));
     const flags = [...readDeployFlags(), ...(nodeFlags?.(member) ?? [])];
     const operatorArgs = operatorSettings === undefined ? [] : ['--operator', operatorFile];
