Limit the tasks on a node: heartbeats of many small tasks were refused and the node was lost

Cause: a worker's heartbeat lists all tasks on its machine, exited ones too until they are acknowledged, and a request has at most 64 KiB. Nothing limited the number of tasks, so the heartbeats got 413 from every controller, the node looked silent, was terminated with all that was on it, and the same plan was made for the next one.

Evidence: the leader's log of the case has 1,801 starts on one node within 520 ms of its first heartbeat, nothing more from it, and 'unreachable' some 5 s later; the stand-in's record has reports of 105 KB and 413 for each.

The room of a node is a type of its own, Capacity, with the free task slots beside the resources. Whoever asks whether a task fits has to give one: placement, preemption, headroom, scaling out, the index of nodes with free capacity. An attempt holds its slot until the worker no longer lists it; what a new leader is told of takes slots like any other. Why it works: the list in a heartbeat is never longer than the attempts of the node, and these never exceed the limit.

--- a/src/api/admission.ts
+++ b/src/api/admission.ts
@@ -4,7 +4,7 @@
  */
 import { RESOURCE_TOLERANCE } from '../constants.js';
 import type { InstanceType } from '../autoscaler/cloud-codec.js';
-import { countFittingTasks } from '../scheduler/placement-constraints.js';
+import { countTasksWithinResources } from '../scheduler/placement-constraints.js';
 import type { TeamQuota } from '../scheduler/team-quota.js';
 import type { JobSpec } from '../state/records.js';
 
@@ -20,7 +20,7 @@
     (type) =>
       (spec.instanceTypes === null || spec.instanceTypes.includes(type.name)) &&
       (spec.zone === null || type.zones.includes(spec.zone)) &&
-      countFittingTasks(spec, type) > 0,
+      countTasksWithinResources(spec, type) > 0,
   );
   if (!fitsAnyType) return 'a task fits no allowed machine type';
   const concurrentTasks = spec.kind === 'service' ? spec.tasks : 1;
--- a/src/autoscaler/capacity-pool.ts
+++ b/src/autoscaler/capacity-pool.ts
@@ -1,7 +1,7 @@
 /** Incoming capacity from which demands reserve what they need. */
 import type { Node } from '../cluster/cluster-state.js';
-import type { MutableResources } from '../cluster/resources.js';
-import { RESOURCE_TOLERANCE, MAX_OCCUPIED_CAPACITY_WAIT_S } from '../constants.js';
+import { hasFreeCapacity as hasRoom, type MutableCapacity } from '../cluster/resources.js';
+import { MAX_OCCUPIED_CAPACITY_WAIT_S } from '../constants.js';
 import {
   allowsZone,
   fits,
@@ -15,7 +15,7 @@
 
 /** Capacity in a pool. `free` is the part that no demand has reserved. */
 export interface PooledCapacity extends IncomingCapacity {
-  readonly free: MutableResources;
+  readonly free: MutableCapacity;
   /** Whether a demand has reserved any part of the capacity. */
   isReserved: boolean;
 }
@@ -150,6 +150,7 @@
     free.cpus -= taskCount * spec.cpus;
     free.accelerators -= taskCount * spec.accelerators;
     free.memGb -= taskCount * spec.memGb;
+    free.taskSlots -= taskCount;
     this.allocationsPerZone.set(zone, (this.allocationsPerZone.get(zone) ?? 0) + taskCount);
   }
 }
@@ -169,5 +170,4 @@
   isReserved: false,
 });
 
-const hasFreeCapacity = ({ free }: PooledCapacity): boolean =>
-  free.cpus > RESOURCE_TOLERANCE || free.accelerators > RESOURCE_TOLERANCE;
+const hasFreeCapacity = ({ free }: PooledCapacity): boolean => hasRoom(free);
--- a/src/autoscaler/headroom.ts
+++ b/src/autoscaler/headroom.ts
@@ -5,7 +5,7 @@
   HEADROOM_WINDOW_MS,
   NODE_START_OVERHEAD_S,
 } from '../constants.js';
-import { countFittingTasks } from '../scheduler/placement-constraints.js';
+import { countTasksWithinResources } from '../scheduler/placement-constraints.js';
 import type { JobSpec } from '../state/records.js';
 import type { InstanceType } from './cloud-codec.js';
 
@@ -67,7 +67,7 @@
   spec: JobSpec,
   instanceTypes: readonly InstanceType[],
 ): number | undefined {
-  const fittingTypes = instanceTypes.filter((type) => countFittingTasks(spec, type) > 0);
+  const fittingTypes = instanceTypes.filter((type) => countTasksWithinResources(spec, type) > 0);
   if (fittingTypes.length === 0) return undefined;
   return Math.min(...fittingTypes.map((type) => type.bootS)) + NODE_START_OVERHEAD_S;
 }
--- a/src/autoscaler/incoming-capacity.ts
+++ b/src/autoscaler/incoming-capacity.ts
@@ -1,14 +1,21 @@
 /** Finds the capacity that demands can rely on before instances are launched for them. */
 import type { ClusterState, Node } from '../cluster/cluster-state.js';
 import type { NodeHealth } from '../cluster/node-health.js';
-import { addResources, type Resources } from '../cluster/resources.js';
-import { NODE_START_OVERHEAD_S } from '../constants.js';
+import {
+  addResources,
+  createEmptyNodeCapacity,
+  releaseTask,
+  type Capacity,
+  type MutableCapacity,
+  type Resources,
+} from '../cluster/resources.js';
+import { ACKNOWLEDGEMENT_DELAY_S, NODE_START_OVERHEAD_S } from '../constants.js';
 import { estimateRemainingRunS } from '../scheduler/time-estimates.js';
 import type { InstanceOffering, InstanceType, LaunchRequest } from './cloud-codec.js';
 
 /** Capacity that is free now or later. It belongs to a node, a launching instance or a running task. */
 export interface IncomingCapacity extends InstanceOffering {
-  readonly free: Resources;
+  readonly free: Capacity;
   /** Seconds until the capacity can be used. */
   readonly readyInS: number;
   /**
@@ -16,7 +23,7 @@
    * such capacity.
    */
   readonly isOccupied: boolean;
-  /** The node, if the capacity can be used at once. Undefined if it can't be used yet. */
+  /** The node, if its worker is up. Undefined for the capacity of a running task and of a node that is starting. */
   readonly node?: Node;
 }
 
@@ -35,8 +42,8 @@
   constructor(private readonly dependencies: IncomingCapacityFinderDependencies) {}
 
   /**
-   * Finds the capacity on on-demand nodes that a service of the rank `prod` can use at once: free resources, and
-   * those of tasks that the service may preempt. Nodes with the fewest such CPUs come first, so that idle nodes are
+   * Finds the capacity on on-demand nodes that a service of the rank `prod` can use at once: free room, and that of
+   * tasks that the service may preempt. The room of exited tasks is about to become free. Nodes with the fewest such CPUs come first, so that idle nodes are
    * kept only for tasks that fit nowhere else.
    */
   findImmediate(nowMs: number): IncomingCapacity[] {
@@ -44,9 +51,11 @@
     const immediate: IncomingCapacity[] = [];
     for (const node of clusterState.nodes.values()) {
       if (node.spot || !node.isPersistedAsUsed || !nodeHealth.isSchedulable(node, nowMs)) continue;
-      const free = { ...clusterState.computeFreeResources(node) };
-      for (const { state, job, resources } of node.attempts.values())
-        if (state !== 'exited' && job && job.rank !== 'prod') addResources(free, resources, 1);
+      const free = clusterState.computeFreeCapacity(node);
+      for (const { state, job, resources } of node.attempts.values()) {
+        if (state === 'exited') free.taskSlots++;
+        else if (job && job.rank !== 'prod') releaseTask(free, resources);
+      }
       const { type, zone, spot } = node;
       immediate.push({ type, zone, spot, free, readyInS: 0, isOccupied: false, node });
     }
@@ -62,7 +71,7 @@
     for (const node of this.dependencies.clusterState.nodes.values())
       this.addNodeCapacity(node, nowMs, incoming);
     for (const { offering, nodeCount } of pendingLaunches) {
-      const free = this.dependencies.getNodeCapacity(offering.type);
+      const free = createEmptyNodeCapacity(this.dependencies.getNodeCapacity(offering.type));
       const readyInS = this.getBootTimeS(offering.type) + NODE_START_OVERHEAD_S;
       for (let i = 0; i < nodeCount; i++) incoming.push({ ...offering, free, readyInS, isOccupied: false });
     }
@@ -72,22 +81,50 @@
   private addNodeCapacity(node: Node, nowMs: number, incoming: IncomingCapacity[]): void {
     const { nodeHealth } = this.dependencies;
     if (node.isTerminating || nodeHealth.isBootOverdue(node, nowMs)) return;
-    const { type, zone, spot, capacity } = node;
+    const { type, zone, spot } = node;
+    const free = createEmptyNodeCapacity(node.capacity);
     if (isRegistering(node)) {
-      incoming.push({ type, zone, spot, free: capacity, readyInS: 1, isOccupied: false });
+      incoming.push({ type, zone, spot, free, readyInS: 1, isOccupied: false });
     } else if (nodeHealth.isBooting(node)) {
       const remainingBootS = Math.max(1, this.getBootTimeS(type) - (nowMs - node.launchedMs) / 1000);
       const readyInS = remainingBootS + NODE_START_OVERHEAD_S;
-      incoming.push({ type, zone, spot, free: capacity, readyInS, isOccupied: false });
+      incoming.push({ type, zone, spot, free, readyInS, isOccupied: false });
     } else if (nodeHealth.isSchedulable(node, nowMs)) {
-      for (const attempt of node.attempts.values()) {
-        const readyInS = estimateRemainingRunS(attempt, nowMs);
-        if (readyInS < Infinity)
-          incoming.push({ type, zone, spot, free: attempt.resources, readyInS, isOccupied: true });
-      }
+      this.addTaskCapacity(node, nowMs, incoming);
     }
   }
 
+  /**
+   * Adds the capacity that the tasks of a node hold. If no task slot of the node is free, its free resources can be used
+   * as soon as a slot is: that of an exited task, which its worker is about to forget, or that of the first running task
+   * to complete.
+   */
+  private addTaskCapacity(node: Node, nowMs: number, incoming: IncomingCapacity[]): void {
+    const { type, zone, spot } = node;
+    const occupied: (IncomingCapacity & { readonly free: MutableCapacity })[] = [];
+    let exitedCount = 0;
+    for (const attempt of node.attempts.values()) {
+      if (attempt.state === 'exited') exitedCount++;
+      const readyInS = estimateRemainingRunS(attempt, nowMs);
+      if (readyInS < Infinity)
+        occupied.push({
+          type,
+          zone,
+          spot,
+          free: { ...attempt.resources, taskSlots: 1 },
+          readyInS,
+          isOccupied: true,
+        });
+    }
+    incoming.push(...occupied);
+    const free = this.dependencies.clusterState.computeFreeCapacity(node);
+    if (free.taskSlots > 0) return;
+    free.taskSlots += exitedCount;
+    if (free.taskSlots > 0)
+      incoming.push({ type, zone, spot, free, readyInS: ACKNOWLEDGEMENT_DELAY_S, isOccupied: false, node });
+    else addToFirst(occupied, free);
+  }
+
   private getBootTimeS(type: string): number {
     return this.dependencies.instanceTypes().get(type)?.bootS ?? 0;
   }
@@ -100,3 +137,13 @@
 function isRegistering(node: Node): boolean {
   return node.firstContactMs > -Infinity && (!node.isPersistedAsUsed || !node.isReconciled);
 }
+
+/** Adds resources to the capacity that is ready first. */
+function addToFirst(
+  occupied: readonly (IncomingCapacity & { readonly free: MutableCapacity })[],
+  resources: Resources,
+): void {
+  let first = occupied[0];
+  for (const capacity of occupied) if (first && capacity.readyInS < first.readyInS) first = capacity;
+  if (first) addResources(first.free, resources, 1);
+}
--- a/src/autoscaler/scale-out-planner.ts
+++ b/src/autoscaler/scale-out-planner.ts
@@ -1,5 +1,6 @@
 /** Plans which instances to launch so that every waiting task gets capacity. */
 import type { Node } from '../cluster/cluster-state.js';
+import { createEmptyNodeCapacity } from '../cluster/resources.js';
 import { AVOIDED_SPOT_PRICE_RATIO, NODE_START_OVERHEAD_S } from '../constants.js';
 import { countFittingTasks } from '../scheduler/placement-constraints.js';
 import type { CapacityDemand } from './capacity-demand.js';
@@ -50,7 +51,9 @@
   const plannedLaunches = new PlannedLaunches(availability);
   const pool = new CapacityPool(incomingCapacity);
   for (const demand of demands) satisfyDemand(demand, pool, plannedLaunches);
-  const headroomPool = new CapacityPool([...immediateCapacity, ...pool.unoccupiedCapacity]);
+  // The immediate capacity includes that of the nodes which are up.
+  const startingCapacity = pool.unoccupiedCapacity.filter(({ node }) => node === undefined);
+  const headroomPool = new CapacityPool([...immediateCapacity, ...startingCapacity]);
   for (const demand of headroomDemands) satisfyDemand(demand, headroomPool, plannedLaunches);
   return { plans: plannedLaunches.plans, headroomNodes: headroomPool.getReservedNodes() };
 }
@@ -94,7 +97,7 @@
     this.incrementCount(offering);
     return {
       ...offering,
-      free: { cpus: type.cpus, accelerators: type.accelerators, memGb: type.memGb },
+      free: createEmptyNodeCapacity(type),
       readyInS: type.bootS + NODE_START_OVERHEAD_S,
       isOccupied: false,
     };
@@ -111,7 +114,7 @@
     let best: OfferedType | undefined;
     let bestScore = Infinity;
     for (const type of this.availability.instanceTypes) {
-      const tasksPerInstance = countFittingTasks(reservation.demand.spec, type);
+      const tasksPerInstance = countFittingTasks(reservation.demand.spec, createEmptyNodeCapacity(type));
       if (tasksPerInstance === 0) continue;
       const taskCount = Math.min(tasksPerInstance, reservation.remainingTasks);
       for (const offering of this.findUsableOfferings(type, reservation)) {
--- a/src/autoscaler/spot-policy.ts
+++ b/src/autoscaler/spot-policy.ts
@@ -1,7 +1,7 @@
 /** Decides whether a waiting job uses spot instances. */
 import type { Job } from '../cluster/cluster-state.js';
 import { MAX_SPOT_INTERRUPTIONS_PER_HOUR } from '../constants.js';
-import { countFittingTasks } from '../scheduler/placement-constraints.js';
+import { countTasksWithinResources } from '../scheduler/placement-constraints.js';
 import { getTimeToDeadlineS } from '../scheduler/time-estimates.js';
 import type { InstanceType } from './cloud-codec.js';
 import type { OfferingBackoff } from './offering-backoff.js';
@@ -49,7 +49,7 @@
    */
   private isSpotAvailable(job: Job, nowMs: number): boolean {
     for (const type of this.dependencies.instanceTypes().values()) {
-      if (countFittingTasks(job.spec, type) === 0) continue;
+      if (countTasksWithinResources(job.spec, type) === 0) continue;
       for (const zone of type.zones)
         if (!this.dependencies.offeringBackoff.isUnavailable({ type: type.name, zone, spot: true }, nowMs))
           return true;
--- a/src/cluster/cluster-state.ts
+++ b/src/cluster/cluster-state.ts
@@ -2,15 +2,16 @@
  * The cluster state of one term: the nodes, the attempts on them, the resources that attempts take from nodes and
  * teams, and indexes of the nodes. It makes no decisions.
  */
-import { RESOURCE_TOLERANCE } from '../constants.js';
+import { MAX_TASKS_PER_NODE } from '../constants.js';
 import type { WireInt } from '../wire/json.js';
 import type { ExitCause } from './worker-messages.js';
 import { createAttempt, type Attempt, type AttemptIdentity, type AttemptState, type Job } from './attempt.js';
 import type { Node, NodeDescription } from './node.js';
 import {
   addResources,
+  hasFreeCapacity,
   NO_RESOURCES,
-  subtractResources,
+  type MutableCapacity,
   type MutableResources,
   type Resources,
 } from './resources.js';
@@ -26,6 +27,8 @@
   onExited(attempt: Attempt, cause: ExitCause): void;
   /** The attempt has certainly ended without a reported exit: it was lost, or withdrawn before it was started. */
   onReleased(attempt: Attempt): void;
+  /** The worker of a node without a free task slot has forgotten an exited attempt, so a slot is free. */
+  onTaskSlotFreed(node: Node): void;
 }
 
 /** A task start that the scheduler has decided on. */
@@ -67,8 +70,8 @@
   }
 
   /**
-   * The nodes on which processors or accelerators are free. Most nodes of a large cluster are full and not among
-   * them.
+   * The nodes on which a task slot, and processors or accelerators are free. Most nodes of a large cluster are full and
+   * not among them.
    */
   get nodesWithFreeCapacity(): ReadonlySet<Node> {
     return this.freeCapacityNodes;
@@ -145,8 +148,8 @@
 
   /** Removes an attempt that has certainly ended. It counts as released unless it had exited. */
   removeAttempt(attempt: Attempt): void {
+    if (attempt.state === 'exited') return this.forgetExitedAttempt(attempt);
     attempt.node.removeAttempt(attempt);
-    if (attempt.state === 'exited') return;
     this.deallocate(attempt);
     this.listener.onReleased(attempt);
   }
@@ -175,9 +178,18 @@
     this.commandAwaitingNodes.delete(node);
   }
 
-  /** Returns the free resources of the node, in a new object that the caller may change. */
-  computeFreeResources(node: Node): MutableResources {
-    return subtractResources(node.capacity, node.allocated);
+  /**
+   * Returns the free room on the node, in a new object that the caller may change. An exited attempt takes a task slot
+   * for as long as the worker may list it.
+   */
+  computeFreeCapacity(node: Node): MutableCapacity {
+    const { capacity, allocated, attempts } = node;
+    return {
+      cpus: capacity.cpus - allocated.cpus,
+      accelerators: capacity.accelerators - allocated.accelerators,
+      memGb: capacity.memGb - allocated.memGb,
+      taskSlots: MAX_TASKS_PER_NODE - attempts.size,
+    };
   }
 
   /** Returns the resources that the attempts of the team's jobs take. */
@@ -214,13 +226,18 @@
     addResources(usage, amount, sign);
   }
 
+  private forgetExitedAttempt(attempt: Attempt): void {
+    const { node } = attempt;
+    const hadFreeTaskSlot = node.attempts.size < MAX_TASKS_PER_NODE;
+    node.removeAttempt(attempt);
+    this.indexFreeCapacity(node);
+    if (!hadFreeTaskSlot) this.listener.onTaskSlotFreed(node);
+  }
+
   private indexFreeCapacity(node: Node): void {
-    const { capacity, allocated } = node;
-    const hasFreeCapacity =
-      capacity.cpus - allocated.cpus > RESOURCE_TOLERANCE ||
-      capacity.accelerators - allocated.accelerators > RESOURCE_TOLERANCE;
+    const hasRoom = hasFreeCapacity(this.computeFreeCapacity(node));
     // A removed node stays out of the index, even if attempts on it end later.
-    if (hasFreeCapacity && this.nodesByName.get(node.name) === node) this.freeCapacityNodes.add(node);
+    if (hasRoom && this.nodesByName.get(node.name) === node) this.freeCapacityNodes.add(node);
     else this.freeCapacityNodes.delete(node);
   }
 }
--- a/src/constants/scheduling.ts
+++ b/src/constants/scheduling.ts
@@ -125,6 +125,11 @@
  * heartbeat and pull an image.
  */
 export const NODE_START_OVERHEAD_S = 8;
+/**
+ * Expected time, in seconds, from the report of a task's exit until its task slot is free: the exit has to be stored and
+ * acknowledged, and the next heartbeat must no longer list the task.
+ */
+export const ACKNOWLEDGEMENT_DELAY_S = 2;
 /** Grace period, in seconds, of a task that is stopped because its node is drained. */
 export const DRAIN_GRACE_PERIOD_S = 30;
 /**
--- a/src/leader/cluster-components.ts
+++ b/src/leader/cluster-components.ts
@@ -73,6 +73,7 @@
     return new ClusterState({
       onExited: (attempt, cause) => this.taskLifecycle.handleExited(attempt, cause),
       onReleased: (attempt) => this.taskLifecycle.handleReleased(attempt),
+      onTaskSlotFreed: this.mailbox.requestSchedulingCycle,
     });
   }
 
--- a/src/scheduler/placement-constraints.ts
+++ b/src/scheduler/placement-constraints.ts
@@ -3,7 +3,7 @@
  * of the protocol.
  */
 import { RESOURCE_TOLERANCE } from '../constants.js';
-import type { Resources } from '../cluster/resources.js';
+import type { Capacity, Resources } from '../cluster/resources.js';
 import type { JobSpec } from '../state/records.js';
 
 /** A node or an offering of the cloud that is checked against the constraints of a job. */
@@ -56,17 +56,27 @@
   return getMaxTasksPerZone(spec) - (allocationsPerZone.get(zone) ?? 0);
 }
 
-/** Whether one task of this size fits into the free resources. */
-export function fits(taskSize: Resources, free: Resources): boolean {
+/** Whether one more task of this size fits into the free room of a node. */
+export function fits(taskSize: Resources, free: Capacity): boolean {
+  return free.taskSlots > 0 && isWithin(taskSize, free);
+}
+
+/** Whether an amount of resources is no larger than another one. */
+export function isWithin(amount: Resources, available: Resources): boolean {
   return (
-    taskSize.cpus <= free.cpus + RESOURCE_TOLERANCE &&
-    taskSize.accelerators <= free.accelerators + RESOURCE_TOLERANCE &&
-    taskSize.memGb <= free.memGb + RESOURCE_TOLERANCE
+    amount.cpus <= available.cpus + RESOURCE_TOLERANCE &&
+    amount.accelerators <= available.accelerators + RESOURCE_TOLERANCE &&
+    amount.memGb <= available.memGb + RESOURCE_TOLERANCE
   );
 }
 
-/** Returns how many tasks of this size fit into the free resources, or 0 for a task that needs no resources. */
-export function countFittingTasks(taskSize: Resources, free: Resources): number {
+/** Returns how many tasks of this size fit into the free room of a node, or 0 for a task that needs no resources. */
+export function countFittingTasks(taskSize: Resources, free: Capacity): number {
+  return Math.max(0, Math.min(free.taskSlots, countTasksWithinResources(taskSize, free)));
+}
+
+/** Returns how many tasks of this size the resources are enough for, or 0 for a task that needs no resources. */
+export function countTasksWithinResources(taskSize: Resources, free: Resources): number {
   const count = Math.min(
     countUnitsThatFit(taskSize.cpus, free.cpus),
     countUnitsThatFit(taskSize.accelerators, free.accelerators),
--- a/src/scheduler/preemption.ts
+++ b/src/scheduler/preemption.ts
@@ -1,6 +1,6 @@
 /** Finds the running tasks that have to stop to make capacity for a waiting task, and computes the cost of that. */
 import type { Attempt, Job, Node } from '../cluster/cluster-state.js';
-import { addResources, type MutableResources } from '../cluster/resources.js';
+import { releaseTask, type MutableCapacity } from '../cluster/resources.js';
 import type { NodeCapacity } from './node-filter.js';
 import { allowsZone, fits, satisfiesConstraints } from './placement-constraints.js';
 
@@ -30,7 +30,7 @@
 
 /**
  * Returns the preemptions that give capacity to one task of `job` each, at most one per node, cheapest first. The free
- * resources in `nodes` must not include those that are reserved for other tasks.
+ * room in `nodes` must not include what is reserved for other tasks.
  */
 export function rankPreemptions(
   job: Job,
@@ -69,7 +69,7 @@
   if (!fits(job.spec, free)) {
     for (const candidate of rankVictims(node, policy)) {
       victims.push(candidate.attempt);
-      addResources(free, candidate.attempt.resources, 1);
+      releaseTask(free, candidate.attempt.resources);
       costS += candidate.stopCostS;
       if (fits(job.spec, free)) break;
     }
@@ -77,11 +77,16 @@
   return fits(job.spec, free) ? { nodeCapacity, victims, costS } : undefined;
 }
 
-/** Returns the resources that will be free once the attempts that are already being stopped have ended. */
-function computeFreeAfterRequestedStops({ node, free }: NodeCapacity): MutableResources {
+/**
+ * Returns the room that will be free once the attempts that are already being stopped have ended, and the worker has
+ * forgotten those that have exited.
+ */
+function computeFreeAfterRequestedStops({ node, free }: NodeCapacity): MutableCapacity {
   const freeAfterStops = { ...free };
-  for (const attempt of node.attempts.values())
-    if (attempt.stopRequest && attempt.state !== 'exited') addResources(freeAfterStops, attempt.resources, 1);
+  for (const attempt of node.attempts.values()) {
+    if (attempt.state === 'exited') freeAfterStops.taskSlots++;
+    else if (attempt.stopRequest) releaseTask(freeAfterStops, attempt.resources);
+  }
   return freeAfterStops;
 }
 
--- a/src/scheduler/preemptor.ts
+++ b/src/scheduler/preemptor.ts
@@ -7,7 +7,7 @@
   type Job,
   type Node,
 } from '../cluster/cluster-state.js';
-import { addResources } from '../cluster/resources.js';
+import { reserveTask } from '../cluster/resources.js';
 import {
   MISSED_DEADLINE_PENALTY_S,
   PREEMPTION_WAIT_MS,
@@ -128,7 +128,7 @@
 
   private execute({ nodeCapacity, victims }: Preemption, job: Job): void {
     // The capacity is reserved for the waiting task during this search. The next search counts it as free again.
-    addResources(nodeCapacity.free, job.spec, -1);
+    reserveTask(nodeCapacity.free, job.spec);
     for (const victim of victims) {
       this.dependencies.log.info({ task: formatTaskName(victim), for: job.uid }, 'task preempted');
       this.dependencies.stopTask(victim, victim.job.spec.checkpointS);
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -2,7 +2,7 @@
 import type { Logger } from 'pino';
 import type { Attempt, ClusterState, Job, Node } from '../cluster/cluster-state.js';
 import type { NodeHealth } from '../cluster/node-health.js';
-import { addResources, type Resources } from '../cluster/resources.js';
+import { reserveTask, type Resources } from '../cluster/resources.js';
 import { MIN_START_LIMIT_PER_CYCLE } from '../constants.js';
 import type { AttemptNumberGenerator } from './attempt-numbers.js';
 import { FreeCapacityIndex } from './free-capacity-index.js';
@@ -114,12 +114,12 @@
     };
   }
 
-  /** Returns the free resources of those of the given nodes on which new tasks may be placed. */
+  /** Returns the free room on those of the given nodes on which new tasks may be placed. */
   private findFreeCapacity(nodes: Iterable<Node>, nowMs: number): NodeCapacity[] {
     const capacities: NodeCapacity[] = [];
     for (const node of nodes) {
       if (node.isPersistedAsUsed && this.dependencies.nodeHealth.isSchedulable(node, nowMs))
-        capacities.push({ node, free: this.dependencies.clusterState.computeFreeResources(node) });
+        capacities.push({ node, free: this.dependencies.clusterState.computeFreeCapacity(node) });
     }
     return capacities;
   }
@@ -152,7 +152,7 @@
     for (const { node, free } of this.rankNodes(job, nodes)) {
       while (fits(job.spec, free) && allowsZone(job.spec, job.allocationsPerZone, node.zone)) {
         this.planStart(job, taskIndex, node, nowMs);
-        addResources(free, job.spec, -1);
+        reserveTask(free, job.spec);
         startedCount++;
         taskIndex = job.findNextPendingTask(taskIndex + 1);
         if (taskIndex < 0 || startedCount >= maxStarts) return startedCount;
--- a/src/scheduler/team-quota.ts
+++ b/src/scheduler/team-quota.ts
@@ -1,6 +1,6 @@
 /** The quotas of teams. A quota consists of guaranteed resources and of limits that the team never exceeds. */
 import type { Resources } from '../cluster/resources.js';
-import { countFittingTasks } from './placement-constraints.js';
+import { countTasksWithinResources } from './placement-constraints.js';
 
 /** The share of the cluster that a team may use. */
 export interface TeamQuota {
@@ -21,7 +21,7 @@
  * using. There is no quota for memory.
  */
 export function countTasksWithinQuota(quota: TeamQuota, used: Resources, taskSize: Resources): number {
-  return countFittingTasks(
+  return countTasksWithinResources(
     { ...taskSize, memGb: 0 },
     {
       cpus: quota.cpuLimit - used.cpus,
--- a/src/scheduler/unschedulable-requests.ts
+++ b/src/scheduler/unschedulable-requests.ts
@@ -1,6 +1,6 @@
 /** Remembers the requests for which a search found no node, so that similar requests need no search. */
 import type { JobSpec } from '../state/records.js';
-import { fits } from './placement-constraints.js';
+import { isWithin } from './placement-constraints.js';
 
 /**
  * The requests for which no node had, or could get through preemption, enough free capacity. This capacity only shrinks
@@ -23,7 +23,7 @@
     return (
       this.specsByConstraints
         .get(getConstraintsKey(spec))
-        ?.some((recordedSpec) => fits(recordedSpec, spec)) ?? false
+        ?.some((recordedSpec) => isWithin(recordedSpec, spec)) ?? false
     );
   }
 }
--- a/test/autoscaler/scale-out-planner.test.ts
+++ b/test/autoscaler/scale-out-planner.test.ts
@@ -2,10 +2,14 @@
 import { test } from 'node:test';
 import type { CapacityDemand } from '../../src/autoscaler/capacity-demand.js';
 import { planScaleOut } from '../../src/autoscaler/scale-out-planner.js';
+import { MAX_TASKS_PER_NODE } from '../../src/constants.js';
 import type { JobSpec } from '../../src/state/records.js';
 import { createJobSpec } from '../fixtures.js';
 import { LARGE_INSTANCE_TYPE, SMALL_INSTANCE_TYPE } from '../support/scheduling-fixtures.js';
 
+/** A task so small that only the number of tasks limits how many of them a node holds. */
+const SMALLEST_TASK = { cpus: 0.001, memGb: 0.001 };
+
 const formatKind = ({ spot }: { spot: boolean }): string => (spot ? 'spot' : 'on demand');
 
 test('the cheapest instances that are ready in time are launched for waiting tasks', () => {
@@ -30,13 +34,13 @@
     type: 'small',
     zone: 'a',
     spot: false,
-    free: { cpus: 4, accelerators: 0, memGb: 16 },
+    free: { cpus: 4, accelerators: 0, memGb: 16, taskSlots: MAX_TASKS_PER_NODE },
     readyInS: 10,
     isOccupied: false,
   };
   const occupiedCapacity = {
     ...bootingCapacity,
-    free: { cpus: 2, accelerators: 0, memGb: 4 },
+    free: { cpus: 2, accelerators: 0, memGb: 4, taskSlots: 1 },
     isOccupied: true,
   };
   const cases: [
@@ -138,6 +142,27 @@
       (offering) => offering.type === 'large',
       ['small/on demand*1', 'small/on demand*1'],
     ],
+    [
+      'an instance is launched for the tasks beyond the task slots of the others, however small they are',
+      [createDemand(SMALLEST_TASK, 2 * MAX_TASKS_PER_NODE + 1)],
+      [],
+      noneUnavailable,
+      ['small/on demand*3'],
+    ],
+    [
+      'tasks beyond the task slots of a booting node get an instance',
+      [createDemand(SMALLEST_TASK, MAX_TASKS_PER_NODE + 1)],
+      [bootingCapacity],
+      noneUnavailable,
+      ['small/on demand*1'],
+    ],
+    [
+      'a running task that completes in time frees one task slot',
+      [createDemand(SMALLEST_TASK, 2)],
+      [occupiedCapacity],
+      noneUnavailable,
+      ['small/on demand*1'],
+    ],
   ];
   for (const [name, demands, incoming, isUnavailable, expected] of cases) {
     const availability = { instanceTypes: [SMALL_INSTANCE_TYPE, LARGE_INSTANCE_TYPE], isUnavailable };
--- a/test/cluster/node-records.test.ts
+++ b/test/cluster/node-records.test.ts
@@ -31,6 +31,7 @@
   const clusterState = new ClusterState({
     onExited: () => undefined,
     onReleased: () => undefined,
+    onTaskSlotFreed: () => undefined,
   });
   const records = new NodeRecords({
     replica: {
--- a/test/scheduler/node-scoring.test.ts
+++ b/test/scheduler/node-scoring.test.ts
@@ -8,11 +8,12 @@
   const clusterState = new ClusterState({
     onExited: () => undefined,
     onReleased: () => undefined,
+    onTaskSlotFreed: () => undefined,
   });
   const createNodeCapacity = (name: string, spot: boolean) => {
     const capacity = { cpus: 4, accelerators: 0, memGb: 16 };
     const node = clusterState.addNode({ name, address: '', type: 'small', zone: 'a', spot, capacity }, 0);
-    return { node, free: clusterState.computeFreeResources(node) };
+    return { node, free: clusterState.computeFreeCapacity(node) };
   };
   const candidates = [createNodeCapacity('spot', true), createNodeCapacity('on demand', false)];
   for (const [avoidsSpot, expectedFirstName] of [
--- a/test/scheduler/placement-constraints.test.ts
+++ b/test/scheduler/placement-constraints.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { createEmptyNodeCapacity } from '../../src/cluster/resources.js';
 import {
   allowsZone,
   satisfiesConstraints,
@@ -48,10 +49,19 @@
 });
 
 test('the scarcest resource limits the number of tasks that fit', () => {
-  assert.equal(countFittingTasks(createJobSpec({ cpus: 2, memGb: 7.6 }), SMALL_INSTANCE_TYPE), 2);
   assert.equal(
-    countFittingTasks(createJobSpec({ cpus: 0.1, memGb: 0 }), { ...SMALL_INSTANCE_TYPE, cpus: 0.3 }),
+    countFittingTasks(createJobSpec({ cpus: 2, memGb: 7.6 }), createEmptyNodeCapacity(SMALL_INSTANCE_TYPE)),
+    2,
+  );
+  assert.equal(
+    countFittingTasks(
+      createJobSpec({ cpus: 0.1, memGb: 0 }),
+      createEmptyNodeCapacity({ ...SMALL_INSTANCE_TYPE, cpus: 0.3 }),
+    ),
     3,
   );
-  assert.equal(countFittingTasks(createJobSpec({ accelerators: 1 }), SMALL_INSTANCE_TYPE), 0);
+  assert.equal(
+    countFittingTasks(createJobSpec({ accelerators: 1 }), createEmptyNodeCapacity(SMALL_INSTANCE_TYPE)),
+    0,
+  );
 });
--- a/test/simulation.test.ts
+++ b/test/simulation.test.ts
@@ -446,16 +446,16 @@
   });
   // Crashes several controllers, the leader among them.
   deployment.at(60, () => ['c0', 'c1', 'c2'].forEach((member) => deployment.crashController(member, 3000)));
-  let freeResourcesCalls = 0;
-  const originalFreeResources = ClusterState.prototype.computeFreeResources;
-  ClusterState.prototype.computeFreeResources = function (node) {
-    freeResourcesCalls++;
-    return originalFreeResources.call(this, node);
+  let freeCapacityCalls = 0;
+  const originalComputeFreeCapacity = ClusterState.prototype.computeFreeCapacity;
+  ClusterState.prototype.computeFreeCapacity = function (node) {
+    freeCapacityCalls++;
+    return originalComputeFreeCapacity.call(this, node);
   };
   try {
     await deployment.clock.runUntil(170_000);
   } finally {
-    ClusterState.prototype.computeFreeResources = originalFreeResources;
+    ClusterState.prototype.computeFreeCapacity = originalComputeFreeCapacity;
   }
   deployment.rules.checkServed(70_000);
   assert.deepEqual(deployment.rules.violations, []);
@@ -485,10 +485,10 @@
   // Each scheduling cycle looks once at each machine, and the cycles are spaced. There are over a thousand tasks, so
   // one lookup per task and machine would exceed the bound.
   const schedulingCycles = 170 * (1000 / 60);
-  assert.ok(freeResourcesCalls < schedulingCycles * machines, `${freeResourcesCalls} lookups`);
+  assert.ok(freeCapacityCalls < schedulingCycles * machines, `${freeCapacityCalls} lookups`);
   assert.ok(
-    freeResourcesCalls < deployment.rules.startCount * machines,
-    `${freeResourcesCalls} lookups for ${deployment.rules.startCount} starts`,
+    freeCapacityCalls < deployment.rules.startCount * machines,
+    `${freeCapacityCalls} lookups for ${deployment.rules.startCount} starts`,
   );
 });
 
--- a/test/support/cluster-fixture.ts
+++ b/test/support/cluster-fixture.ts
@@ -5,6 +5,7 @@
 import { generatePendingCommands } from '../../src/cluster/pending-commands.js';
 import type { Heartbeat, TaskStatus } from '../../src/cluster/worker-messages.js';
 import { Job } from '../../src/pipeline/job.js';
+import type { JobSpec } from '../../src/state/records.js';
 import { createJobSpec } from '../fixtures.js';
 
 /** Duration of the workers' lease in these tests, in seconds. */
@@ -14,11 +15,11 @@
 const NODE_NAME = 'vm-1';
 const NODE_DESCRIPTION = { address: 'a:1', type: 'small', zone: 'a', spot: false };
 
-function createJob(): Job<Attempt> {
-  const spec = createJobSpec();
+function createJob(fields: Partial<JobSpec>): Job<Attempt> {
+  const spec = createJobSpec(fields);
   const record = {
     phase: 'open' as const,
-    taskCount: 4,
+    taskCount: spec.tasks,
     spec,
     acceptedMs: 0,
     memberStates: 'E',
@@ -29,16 +30,19 @@
 }
 
 /**
- * Creates a cluster state with one node, `vm-1`, and a job of four tasks. `exits` and `released` collect the events of the
+ * Creates a cluster state with one node, `vm-1`, and a job of four tasks, unless the fields of its specification say
+ * otherwise. `exits` and `released` collect the events of the
  * cluster state.
  */
-export function createClusterWithNode() {
-  const job = createJob();
+export function createClusterWithNode(fields: Partial<JobSpec> = {}) {
+  const job = createJob(fields);
   const released: Attempt[] = [];
   const exits: string[] = [];
+  const nodesWithFreedSlot: Node[] = [];
   const clusterState = new ClusterState({
     onExited: (attempt, cause) => exits.push(`${attempt.taskIndex} ${cause}`),
     onReleased: (attempt) => released.push(attempt),
+    onTaskSlotFreed: (freed) => nodesWithFreedSlot.push(freed),
   });
   const reconciler = new HeartbeatReconciler({
     clusterState,
@@ -49,7 +53,7 @@
     { name: NODE_NAME, ...NODE_DESCRIPTION, capacity: { cpus: 8, accelerators: 0, memGb: 64 } },
     0,
   );
-  return { job, clusterState, reconciler, node, released, exits };
+  return { job, clusterState, reconciler, node, released, exits, nodesWithFreedSlot };
 }
 
 /** Creates a heartbeat of the node `vm-1`. */
--- a/test/workers/command-dispatcher.test.ts
+++ b/test/workers/command-dispatcher.test.ts
@@ -35,7 +35,11 @@
 
 /** Creates a dispatcher and a node with one planned attempt. `respond` simulates the worker of the node. */
 function setUp(respond: () => Promise<HttpResponse>) {
-  const clusterState = new ClusterState({ onExited: () => undefined, onReleased: () => undefined });
+  const clusterState = new ClusterState({
+    onExited: () => undefined,
+    onReleased: () => undefined,
+    onTaskSlotFreed: () => undefined,
+  });
   const description = { name: 'vm-1', address: 'a:1', type: 'small', zone: 'a', spot: false };
   const node = clusterState.addNode({ ...description, capacity: { cpus: 8, accelerators: 0, memGb: 64 } }, 0);
   node.markReconciled();
