Scaling out counts the free capacity left by a cycle that reached its limit of starts

Cause: a scheduling cycle starts at most 300 tasks, or as many as nodes have free capacity. The jobs that still wait count as jobs that found none, and scaling out launches nodes for all of them.

Change: the scheduler tells whether its last cycle reached the limit; if so, scaling out counts the free capacity of the nodes. In all other cycles the decisions are the same. One fixture in place of two for a job in tests.

--- a/src/autoscaler/autoscaler.ts
+++ b/src/autoscaler/autoscaler.ts
@@ -9,7 +9,7 @@
 import { toCapacityDemand, type CapacityDemand } from './capacity-demand.js';
 import type { InstanceType, LaunchRequest } from './cloud-codec.js';
 import { planHeadroom, type HeadroomDemand, type RecentJob, type StartObjective } from './headroom.js';
-import { IncomingCapacityFinder } from './incoming-capacity.js';
+import { IncomingCapacityFinder, type IncomingCapacity } from './incoming-capacity.js';
 import { OfferingBackoff } from './offering-backoff.js';
 import { planScaleOut, type ScaleOutPlan } from './scale-out-planner.js';
 import type { SpotInterruptionRate } from './spot-interruption-rate.js';
@@ -19,7 +19,7 @@
 export interface AutoscalerDependencies {
   readonly clusterState: ClusterState;
   readonly nodeHealth: NodeHealth;
-  readonly scheduler: Pick<Scheduler, 'countTasksWithinQuota'>;
+  readonly scheduler: Pick<Scheduler, 'countTasksWithinQuota' | 'hasReachedStartLimit'>;
   /** Number of the leader's term. */
   readonly term: number;
   /** Instance types by name. */
@@ -113,7 +113,7 @@
     if (demands.length === 0 && headroomDemands.length === 0) return;
     const { plans, headroomNodes } = planScaleOut({
       demands,
-      incomingCapacity: this.capacityFinder.findIncoming(this.pendingLaunches.values(), nowMs),
+      incomingCapacity: this.findIncomingCapacity(nowMs),
       availability: {
         instanceTypes: [...this.dependencies.instanceTypes().values()],
         isUnavailable: (offering) => this.offeringBackoff.isUnavailable(offering, nowMs),
@@ -125,6 +125,15 @@
     for (const plan of plans) this.launch(plan);
   }
 
+  /** Finds the capacity that waiting tasks get without a launch. */
+  private findIncomingCapacity(nowMs: number): IncomingCapacity[] {
+    const incoming = this.capacityFinder.findIncoming(this.pendingLaunches.values(), nowMs);
+    // Otherwise the waiting tasks have found no free capacity that suits them.
+    if (this.dependencies.scheduler.hasReachedStartLimit)
+      incoming.push(...this.capacityFinder.findFree(nowMs));
+    return incoming;
+  }
+
   private planHeadroom(): HeadroomDemand[] {
     const { startObjectives, recentJobs, instanceTypes, wallMs } = this.dependencies;
     return planHeadroom(startObjectives, recentJobs(), [...instanceTypes().values()], wallMs());
--- a/src/autoscaler/incoming-capacity.ts
+++ b/src/autoscaler/incoming-capacity.ts
@@ -62,6 +62,19 @@
     return immediate.sort((a, b) => a.free.cpus - b.free.cpus);
   }
 
+  /** Finds the free room on the nodes on which tasks may be placed. */
+  findFree(nowMs: number): IncomingCapacity[] {
+    const { clusterState, nodeHealth } = this.dependencies;
+    const free: IncomingCapacity[] = [];
+    for (const node of clusterState.nodesWithFreeCapacity) {
+      if (!node.isPersistedAsUsed || !nodeHealth.isSchedulable(node, nowMs)) continue;
+      const { type, zone, spot } = node;
+      const room = clusterState.computeFreeCapacity(node);
+      free.push({ type, zone, spot, free: room, readyInS: 0, isOccupied: false, node });
+    }
+    return free;
+  }
+
   /**
    * Finds the capacity that becomes available later: of nodes that register or boot, of running tasks, and of launch
    * requests without a response.
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -47,6 +47,7 @@
 export class Scheduler {
   private readonly quotaTracker: QuotaTracker;
   private readonly preemptor: Preemptor;
+  private isStartLimitReached = false;
 
   constructor(private readonly dependencies: SchedulerDependencies) {
     this.quotaTracker = new QuotaTracker(dependencies);
@@ -66,6 +67,14 @@
     return this.dependencies.attemptNumbers.areRunningOut;
   }
 
+  /**
+   * Whether the last scheduling cycle started as many tasks as one cycle may start. Waiting jobs may then find free
+   * capacity in the next cycle.
+   */
+  get hasReachedStartLimit(): boolean {
+    return this.isStartLimitReached;
+  }
+
   /** Returns how many more tasks of the job its team's quota allows if `plannedUsage` is reserved for other tasks. */
   countTasksWithinQuota(job: Job, plannedUsage?: Resources): number {
     return this.quotaTracker.countRemainingTasks(job, plannedUsage);
@@ -89,6 +98,7 @@
         job.queueTimes.recordNotPending();
       }
     }
+    this.isStartLimitReached = cycle.remainingStarts <= 0;
     return waitingJobs;
   }
 
--- a/test/scheduler/task-slots.test.ts
+++ b/test/scheduler/task-slots.test.ts
@@ -2,32 +2,21 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { IncomingCapacityFinder } from '../../src/autoscaler/incoming-capacity.js';
-import type { Attempt, ClusterState } from '../../src/cluster/cluster-state.js';
+import type { ClusterState } from '../../src/cluster/cluster-state.js';
 import type { TaskStatus } from '../../src/cluster/worker-messages.js';
 import { ACKNOWLEDGEMENT_DELAY_S, MAX_TASKS_PER_NODE } from '../../src/constants.js';
-import { Job } from '../../src/pipeline/job.js';
 import { rankPreemptions } from '../../src/scheduler/preemption.js';
-import { createJobSpec } from '../fixtures.js';
-import { createClusterWithNode, createHeartbeat, createRunningTask } from '../support/cluster-fixture.js';
+import {
+  createClusterWithNode,
+  createHeartbeat,
+  createJob,
+  createRunningTask,
+} from '../support/cluster-fixture.js';
 
 const NODE_CPUS = 8;
 const SMALL_TASK = { cpus: 0.01, memGb: 0.01 };
 const SERVICE = createJob({ uid: 'job-000002', kind: 'service', tasks: 1, cpus: 2, memGb: 1 });
 
-function createJob(fields: Parameters<typeof createJobSpec>[0]): Job<Attempt> {
-  const spec = createJobSpec(fields);
-  const record = {
-    phase: 'open' as const,
-    taskCount: spec.tasks,
-    spec,
-    acceptedMs: 0,
-    memberStates: 'E',
-    isSuccessorRunning: false,
-    firstCompletionSegment: '',
-  };
-  return new Job<Attempt>({ uid: spec.uid, record, spec, modRevision: 1, deadlineObjectives: [] });
-}
-
 /** Creates a node without a free task slot. Its worker lists running tasks of a job, and exited ones. */
 function createFullNode(runningCount: number) {
   const cluster = createClusterWithNode({ ...SMALL_TASK, tasks: MAX_TASKS_PER_NODE });
--- a/test/support/cluster-fixture.ts
+++ b/test/support/cluster-fixture.ts
@@ -15,7 +15,8 @@
 const NODE_NAME = 'vm-1';
 const NODE_DESCRIPTION = { address: 'a:1', type: 'small', zone: 'a', spot: false };
 
-function createJob(fields: Partial<JobSpec>): Job<Attempt> {
+/** Creates an open job of which no task has started. */
+export function createJob(fields: Partial<JobSpec>): Job<Attempt> {
   const spec = createJobSpec(fields);
   const record = {
     phase: 'open' as const,
@@ -26,7 +27,7 @@
     isSuccessorRunning: false,
     firstCompletionSegment: '',
   };
-  return new Job<Attempt>({ uid: JOB_UID, record, spec, modRevision: 1, deadlineObjectives: [] });
+  return new Job<Attempt>({ uid: spec.uid, record, spec, modRevision: 1, deadlineObjectives: [] });
 }
 
 /**
--- a/test/task-limit.test.ts
+++ b/test/task-limit.test.ts
@@ -66,6 +66,12 @@
 const FOUR_ARRAYS_MACHINES = Math.ceil((4 * 450) / MAX_TASKS_PER_NODE) + 1;
 
 const CASES: readonly BurstCase[] = [
+  {
+    // Guards against machines rented in vain: scaling out did not know that the next scheduling cycle goes on.
+    name: 'more tasks than one scheduling cycle starts, with room for all of them on one machine',
+    jobs: [{ ...SMALL_TASK, tasks: MAX_TASKS_PER_NODE - 5, runS: 30, deadlineS: 60 }],
+    maxRented: 1,
+  },
   { name: 'four arrays of small tasks at once', jobs: FOUR_ARRAYS, maxRented: FOUR_ARRAYS_MACHINES },
   {
     name: 'as many tasks of the smallest size as a job may have',
