Keep the stop commands for many tasks of a node from filling each response to its worker

Found by reading; no run has shown it.

Cause: a stop was repeated in each response while its task saved, oldest attempts first and 200 commands a response, so 200 saving tasks kept acknowledgements and starts from the worker.

Change: a task that saves is told to stop again only without a grace period.

--- a/src/cluster/pending-commands.ts
+++ b/src/cluster/pending-commands.ts
@@ -46,6 +46,8 @@
   if (stopRequest) {
     // An attempt whose start command was not sent, or certainly not executed, needs no stop command.
     if (state === 'planned' && attempt.directStart === 'none') return undefined;
+    // The worker has executed a stop command. Repeating it would take the place of commands for other attempts.
+    if (state === 'saving' && stopRequest.gracePeriodS > 0) return undefined;
     return { kind: 'stop', taskName, attemptNumber: number, gracePeriodS: stopRequest.gracePeriodS };
   }
   return state === 'planned' && mayStart(attempt)
--- a/test/cluster/pending-commands.test.ts
+++ b/test/cluster/pending-commands.test.ts
@@ -52,3 +52,23 @@
   assert.equal(job.attemptByTask.size, 0);
   assert.deepEqual(released, [attempt]);
 });
+
+// The stop commands of hundreds of saving tasks would fill each response, so that no other command reached the worker.
+test('a task that saves its checkpoint is not told to stop again, unless it has to stop at once', () => {
+  const { reconciler, node } = createClusterWithNode();
+  reconciler.apply(node, createHeartbeat(1, 1, [createRunningTask(0, 7)]), 'heartbeat', 0);
+  const attempt = [...node.attempts.values()][0]!;
+  attempt.requestStop(30);
+  assert.deepEqual(
+    listCommands(node).map(({ kind }) => kind),
+    ['stop'],
+  );
+  const saving: TaskStatus = { ...createRunningTask(0, 7), state: 'saving' };
+  reconciler.apply(node, createHeartbeat(1, 2, [saving]), 'heartbeat', 10);
+  assert.deepEqual(listCommands(node), []);
+  attempt.requestStop(0);
+  assert.deepEqual(
+    listCommands(node).map(({ kind }) => kind),
+    ['stop'],
+  );
+});
