--- a/src/constants/http.ts
+++ b/src/constants/http.ts
@@ -6,7 +6,7 @@
  * Maximum size of a heartbeat, in bytes. A worker that holds more tasks than it should keeps its lease, so that they can
  * end. A relayed heartbeat has to fit into a frame between controllers.
  */
-export const MAX_HEARTBEAT_BYTES = 512 * 1024;
+export const MAX_HEARTBEAT_BYTES = 960 * 1024;
 /** Minimum interval between two log lines about rejected requests, in milliseconds. */
 export const REJECTION_LOG_INTERVAL_MS = 10_000;
 /**
