Return a machine with nothing but exited tasks, though their lost starts may still arrive

What operators would see: a machine that is never given back. Cause: an exited task whose direct start was lost is not acknowledged before the term ends, as the command may still arrive, and a machine with any attempt did not count as idle. Scaling out and preemption counted the place of such a task as about to be free.

Change: a machine whose attempts are all of this kind, with their ends stored, is vacant; their places are not counted on. Why it is safe: a command that arrives after the termination finds no worker. A copy of formatTaskName and a call that could have no effect are gone from TaskLifecycle.

--- a/src/autoscaler/incoming-capacity.ts
+++ b/src/autoscaler/incoming-capacity.ts
@@ -1,5 +1,6 @@
 /** Finds the capacity that demands can rely on before instances are launched for them. */
 import type { ClusterState, Node } from '../cluster/cluster-state.js';
+import { isAboutToBeForgotten } from '../cluster/exited-attempts.js';
 import type { NodeHealth } from '../cluster/node-health.js';
 import {
   addResources,
@@ -52,9 +53,10 @@
     for (const node of clusterState.nodes.values()) {
       if (node.spot || !node.isPersistedAsUsed || !nodeHealth.isSchedulable(node, nowMs)) continue;
       const free = clusterState.computeFreeCapacity(node);
-      for (const { state, job, resources } of node.attempts.values()) {
-        if (state === 'exited') free.taskSlots++;
-        else if (job && job.rank !== 'prod') releaseTask(free, resources);
+      for (const attempt of node.attempts.values()) {
+        const { state, job, resources } = attempt;
+        if (isAboutToBeForgotten(attempt)) free.taskSlots++;
+        else if (state !== 'exited' && job && job.rank !== 'prod') releaseTask(free, resources);
       }
       const { type, zone, spot } = node;
       immediate.push({ type, zone, spot, free, readyInS: 0, isOccupied: false, node });
@@ -115,9 +117,9 @@
   private addTaskCapacity(node: Node, nowMs: number, incoming: IncomingCapacity[]): void {
     const { type, zone, spot } = node;
     const occupied: (IncomingCapacity & { readonly free: MutableCapacity })[] = [];
-    let exitedCount = 0;
+    let forgottenCount = 0;
     for (const attempt of node.attempts.values()) {
-      if (attempt.state === 'exited') exitedCount++;
+      if (isAboutToBeForgotten(attempt)) forgottenCount++;
       const readyInS = estimateRemainingRunS(attempt, nowMs);
       if (readyInS < Infinity)
         occupied.push({
@@ -132,7 +134,7 @@
     incoming.push(...occupied);
     const free = this.dependencies.clusterState.computeFreeCapacity(node);
     if (free.taskSlots > 0) return;
-    free.taskSlots += exitedCount;
+    free.taskSlots += forgottenCount;
     if (free.taskSlots > 0)
       incoming.push({ type, zone, spot, free, readyInS: ACKNOWLEDGEMENT_DELAY_S, isOccupied: false, node });
     else addToFirst(occupied, free);
--- a/src/cluster/pending-commands.ts
+++ b/src/cluster/pending-commands.ts
@@ -4,6 +4,7 @@
  */
 import type { WorkerCommand } from './worker-messages.js';
 import { formatTaskName, type Attempt } from './attempt.js';
+import { isEndRecorded } from './exited-attempts.js';
 import type { Node } from './node.js';
 
 /** A command and the attempt that it concerns. */
@@ -55,11 +56,10 @@
     : undefined;
 }
 
-/** Whether the worker may forget an exited attempt. */
-function mayBeAcknowledged({ directStart, exitCause, taskIndex, job }: Attempt): boolean {
-  // A start command that is still in transit has to find the attempt on the worker, or it would be executed again.
-  if (directStart !== 'none') return false;
-  if (exitCause !== 'completed' || !job?.isOpen) return true;
-  // Until the completion is stored, a new leader can learn of it only from the worker's list.
-  return job.persistence.isCompletionPersisted(taskIndex);
+/**
+ * Whether the worker may forget an exited attempt. A start command that is still in transit has to find the attempt on the
+ * worker, or it would be executed again.
+ */
+function mayBeAcknowledged(attempt: Attempt): boolean {
+  return attempt.directStart === 'none' && isEndRecorded(attempt);
 }
--- a/src/leader/fleet-reconciler.ts
+++ b/src/leader/fleet-reconciler.ts
@@ -10,6 +10,7 @@
 import type { Provisioner } from '../autoscaler/provisioner.js';
 import type { SpotInterruptionRate } from '../autoscaler/spot-interruption-rate.js';
 import type { Attempt, ClusterState, Job, Node, Resources } from '../cluster/cluster-state.js';
+import { isVacant } from '../cluster/exited-attempts.js';
 import type { NodeHealth } from '../cluster/node-health.js';
 import type { NodeRecords } from '../cluster/node-records.js';
 import {
@@ -163,7 +164,7 @@
    * it is empty.
    */
   private drainNode(node: Node, nowMs: number): void {
-    const isEmpty = node.attempts.size === 0;
+    const isEmpty = isVacant(node);
     if (isEmpty && this.dependencies.nodeHealth.isQuarantined(node))
       return this.terminateNode(node, 'quarantined');
     const remainingS = (node.interruptionMs - nowMs) / 1000;
@@ -221,7 +222,7 @@
   }
 
   private isIdleLongEnough(node: Node, nowMs: number): boolean {
-    if (node.attempts.size > 0 || this.dependencies.autoscaler.isReservedForHeadroom(node)) return false;
+    if (!isVacant(node) || this.dependencies.autoscaler.isReservedForHeadroom(node)) return false;
     const idleKeepMs = this.dependencies.settings.operator.idleKeepS * 1000;
     return nowMs - node.idleSinceMs > idleKeepMs && nowMs - node.launchedMs > MIN_BILLED_MS;
   }
--- a/src/leader/task-lifecycle.ts
+++ b/src/leader/task-lifecycle.ts
@@ -1,6 +1,6 @@
 /** Decides when task attempts may start, and handles the ends of attempts. */
 import type { Logger } from 'pino';
-import type { Attempt, Job } from '../cluster/cluster-state.js';
+import { formatTaskName, type Attempt, type Job } from '../cluster/cluster-state.js';
 import type { CancellationWatermark } from '../election/cancellation-watermark.js';
 import type { DependencyGraph } from '../pipeline/dependency-graph.js';
 import type { ExitCause } from '../cluster/worker-messages.js';
@@ -33,8 +33,6 @@
   readonly nowMs: number;
 }
 
-const formatTaskName = ({ jobUid, taskIndex }: Attempt): string => `${jobUid}/${taskIndex}`;
-
 /** Decides whether an attempt may be started, and applies its end to its job and its node. */
 export class TaskLifecycle {
   constructor(private readonly dependencies: TaskLifecycleDependencies) {}
@@ -61,7 +59,6 @@
       'task exited',
     );
     this.dependencies.commandDispatcher.discardAttempt(attempt);
-    if (node.attempts.size === 0) node.markIdle(nowMs);
     if (!job) return;
     this.applyExit(job, attempt, { cause, runTimeS, nowMs });
     this.dependencies.requestSchedulingCycle();
--- a/src/scheduler/preemption.ts
+++ b/src/scheduler/preemption.ts
@@ -1,5 +1,6 @@
 /** Finds the running tasks that have to stop to make capacity for a waiting task, and computes the cost of that. */
 import type { Attempt, Job, Node } from '../cluster/cluster-state.js';
+import { isAboutToBeForgotten } from '../cluster/exited-attempts.js';
 import { releaseTask, type MutableCapacity } from '../cluster/resources.js';
 import type { NodeCapacity } from './node-filter.js';
 import { allowsZone, fits, satisfiesConstraints } from './placement-constraints.js';
@@ -79,13 +80,14 @@
 
 /**
  * Returns the room that will be free once the attempts that are already being stopped have ended, and the worker has
- * forgotten those that have exited.
+ * forgotten the exited ones that it may forget.
  */
 function computeFreeAfterRequestedStops({ node, free }: NodeCapacity): MutableCapacity {
   const freeAfterStops = { ...free };
   for (const attempt of node.attempts.values()) {
-    if (attempt.state === 'exited') freeAfterStops.taskSlots++;
-    else if (attempt.stopRequest) releaseTask(freeAfterStops, attempt.resources);
+    if (isAboutToBeForgotten(attempt)) freeAfterStops.taskSlots++;
+    else if (attempt.stopRequest && attempt.state !== 'exited')
+      releaseTask(freeAfterStops, attempt.resources);
   }
   return freeAfterStops;
 }
--- a/src/workers/heartbeat-handler.ts
+++ b/src/workers/heartbeat-handler.ts
@@ -1,6 +1,7 @@
 /** Handles workers' heartbeats on the leader. */
 import type { Logger } from 'pino';
 import type { ClusterState, Node, Resources } from '../cluster/cluster-state.js';
+import { isVacant } from '../cluster/exited-attempts.js';
 import type { HeartbeatReconciler } from '../cluster/heartbeat-reconciler.js';
 import {
   classifyHeartbeat,
@@ -194,7 +195,7 @@
       this.dependencies.requestSchedulingCycle();
     }
     this.taskLimitMonitor.check(node);
-    if (node.attempts.size > 0) node.markBusy();
+    if (!isVacant(node)) node.markBusy();
     else if (node.idleSinceMs === Infinity) node.markIdle(this.dependencies.nowMs());
     if (!node.isPersistedAsUsed) this.dependencies.nodeRecords.markUsed(node);
   }
--- a/test/scheduler/task-slots.test.ts
+++ b/test/scheduler/task-slots.test.ts
@@ -59,6 +59,21 @@
   }
 });
 
+// A plan that counts on such a slot never comes true.
+test('an exited task whose lost start may still arrive frees no slot', () => {
+  const { clusterState, node } = createFullNode(MAX_TASKS_PER_NODE - 1);
+  const exited = [...node.attempts.values()].find(({ state }) => state === 'exited')!;
+  exited.endDirectStart('lost');
+  const [preemption] = rankPreemptions(SERVICE, [{ node, free: clusterState.computeFreeCapacity(node) }], {
+    estimateImagePullS: () => 0,
+    mayPreempt: () => true,
+    computeStopCostS: () => 1,
+  });
+  assert.equal(preemption?.victims.length, 1);
+  const incoming = createCapacityFinder(clusterState).findIncoming([], 0);
+  assert.ok(incoming.every(({ isOccupied }) => isOccupied));
+});
+
 test('a task that is already being stopped frees its slot, so no other is preempted', () => {
   const { clusterState, node } = createFullNode(MAX_TASKS_PER_NODE);
   [...node.attempts.values()][1]!.requestStop(0);
