Start and stop an attempt together if it must stop while its lost start may still arrive

Cause: the worker ignores the stop of an attempt that it does not hold, and the start was not sent again once a stop was requested.

Change: the response to a heartbeat has start and stop, in this order, where the job may start tasks. The worker then holds the attempt as exited, and a late start has no effect on it.

--- a/src/cluster/pending-commands.ts
+++ b/src/cluster/pending-commands.ts
@@ -19,8 +19,7 @@
   mayStart: (attempt: Attempt) => boolean,
 ): Iterable<PendingCommand> {
   for (const attempt of node.attempts.values()) {
-    const command = findPendingCommand(attempt, mayStart);
-    if (command) yield { command, attempt };
+    for (const command of listPendingCommands(attempt, mayStart)) yield { command, attempt };
   }
 }
 
@@ -36,24 +35,24 @@
   return false;
 }
 
-function findPendingCommand(
-  attempt: Attempt,
-  mayStart: (attempt: Attempt) => boolean,
-): WorkerCommand | undefined {
-  const { state, stopRequest, number } = attempt;
+/** Lists the commands about one attempt, in the order in which the worker should execute them. */
+function listPendingCommands(attempt: Attempt, mayStart: (attempt: Attempt) => boolean): WorkerCommand[] {
+  const { state, stopRequest, directStart, number: attemptNumber } = attempt;
   const taskName = formatTaskName(attempt);
   if (state === 'exited')
-    return mayBeAcknowledged(attempt) ? { kind: 'acknowledge', taskName, attemptNumber: number } : undefined;
-  if (stopRequest) {
-    // An attempt whose start command was not sent, or certainly not executed, needs no stop command.
-    if (state === 'planned' && attempt.directStart === 'none') return undefined;
-    // The worker has executed a stop command. Repeating it would take the place of commands for other attempts.
-    if (state === 'saving' && stopRequest.gracePeriodS > 0) return undefined;
-    return { kind: 'stop', taskName, attemptNumber: number, gracePeriodS: stopRequest.gracePeriodS };
-  }
-  return state === 'planned' && mayStart(attempt)
-    ? { kind: 'start', taskName, attemptNumber: number }
-    : undefined;
+    return mayBeAcknowledged(attempt) ? [{ kind: 'acknowledge', taskName, attemptNumber }] : [];
+  const start: WorkerCommand = { kind: 'start', taskName, attemptNumber };
+  if (!stopRequest) return state === 'planned' && mayStart(attempt) ? [start] : [];
+  // An attempt whose start command was not sent, or certainly not executed, needs no stop command.
+  if (state === 'planned' && directStart === 'none') return [];
+  // The worker has executed a stop command. Repeating it would take the place of commands for other attempts.
+  if (state === 'saving' && stopRequest.gracePeriodS > 0) return [];
+  const { gracePeriodS } = stopRequest;
+  const stop: WorkerCommand = { kind: 'stop', taskName, attemptNumber, gracePeriodS };
+  // A worker that does not know the attempt ignores the stop, and a lost start command may still arrive. With the start
+  // before it, the stop makes the worker hold the attempt as exited, and a late start then has no effect.
+  const mayArriveLate = state === 'planned' && directStart === 'lost';
+  return mayArriveLate && mayStart(attempt) ? [start, stop] : [stop];
 }
 
 /**
