A guarantee outweighs a rank in both directions: a preempted replica took its room again

Cause: a job within its team's guarantee may stop borrowed work of a higher rank, but room is given out by rank first, so the stopped replica took it again; and the replica could stop that job in turn by its rank.

Change: borrowed work no longer stops work within another team's guarantee by its rank. Room made by stopping work of a higher rank is kept for the job that it was made for until it is placed, or 10 s after the stop.

--- a/src/constants/scheduling.ts
+++ b/src/constants/scheduling.ts
@@ -56,6 +56,11 @@
  * guarantee.
  */
 export const PREEMPTION_WAIT_MS = 4_000;
+/**
+ * For this many milliseconds after the preempted tasks have had their time to stop, the room that they leave is kept for
+ * the job that it was made for.
+ */
+export const PREEMPTION_RESERVATION_MS = 10_000;
 /**
  * Expected run time of a task as a multiple of its owner's estimate, as long as no run time of its job class has been
  * observed.
--- a/src/scheduler/free-capacity-index.ts
+++ b/src/scheduler/free-capacity-index.ts
@@ -1,4 +1,5 @@
 /** Groups the nodes of one scheduling cycle and their free resources by zone. */
+import type { Node } from '../cluster/cluster-state.js';
 import type { JobSpec } from '../state/records.js';
 import { hasFreeCapacity, type NodeCapacity } from './node-filter.js';
 import { allowsZone } from './placement-constraints.js';
@@ -35,6 +36,11 @@
     return false;
   }
 
+  /** Returns the free room on a node. Undefined if the node is not in the index. */
+  findNode(node: Node): NodeCapacity | undefined {
+    return this.nodesByZone.get(node.zone)?.find((nodeCapacity) => nodeCapacity.node === node);
+  }
+
   /** Returns the nodes of one zone. */
   getNodesInZone(zone: string): readonly NodeCapacity[] {
     return this.nodesByZone.get(zone) ?? [];
--- a/src/scheduler/preemptor.ts
+++ b/src/scheduler/preemptor.ts
@@ -18,6 +18,7 @@
 import { FreeCapacityIndex } from './free-capacity-index.js';
 import type { NodeCapacity } from './node-filter.js';
 import { allowsZone } from './placement-constraints.js';
+import type { PreemptionReservations } from './preemption-reservations.js';
 import { compareByCost, rankPreemptions, type JobAttempt, type Preemption } from './preemption.js';
 import { PreemptionSearch, type PreemptionScope } from './preemption-search.js';
 import type { QuotaTracker } from './quota-tracker.js';
@@ -34,6 +35,7 @@
   /** Returns the instance types by name. */
   readonly instanceTypes: () => ReadonlyMap<string, ImagePullRate>;
   readonly quotaTracker: QuotaTracker;
+  readonly reservations: Pick<PreemptionReservations, 'add'>;
   /** Returns the free resources of those of the given nodes on which new tasks may be placed. */
   readonly findFreeCapacity: (nodes: Iterable<Node>, nowMs: number) => NodeCapacity[];
   /** Returns the current wall time in milliseconds. */
@@ -97,7 +99,7 @@
       if (remainingTasks-- <= 0) return;
       const { zone } = preemption.nodeCapacity.node;
       if (!allowsZone(job.spec, allocationsPerZone, zone)) continue;
-      this.execute(preemption, job);
+      this.execute(preemption, job, nowMs);
       allocationsPerZone.set(zone, (allocationsPerZone.get(zone) ?? 0) + 1);
     }
   }
@@ -126,9 +128,13 @@
     return preemptions.sort(compareByCost);
   }
 
-  private execute({ nodeCapacity, victims }: Preemption, job: Job): void {
+  private execute({ nodeCapacity, victims }: Preemption, job: Job, nowMs: number): void {
     // The capacity is reserved for the waiting task during this search. The next search counts it as free again.
     reserveTask(nodeCapacity.free, job.spec);
+    if (victims.some((victim) => outranks(victim.job, job))) {
+      const graceS = Math.max(...victims.map((victim) => victim.job.spec.checkpointS));
+      this.dependencies.reservations.add(job, nodeCapacity.node, graceS, nowMs);
+    }
     for (const victim of victims) {
       this.dependencies.log.info({ task: formatTaskName(victim), for: job.uid }, 'task preempted');
       this.dependencies.stopTask(victim, victim.job.spec.checkpointS);
@@ -149,13 +155,20 @@
   }
 
   private mayPreempt(job: Job, victim: Job, withinGuarantee: ReadonlySet<Job>): boolean {
-    if (RANKS.indexOf(victim.rank) > RANKS.indexOf(job.rank)) return true;
-    if (!withinGuarantee.has(job) || victim.spec.team === job.spec.team || withinGuarantee.has(victim))
-      return false;
+    const isSameTeam = victim.spec.team === job.spec.team;
+    // A team that borrows must give capacity back, whatever the ranks. Its job may not take it again.
+    const isGuaranteed = !isSameTeam && withinGuarantee.has(victim) && !withinGuarantee.has(job);
+    if (outranks(job, victim)) return !isGuaranteed;
+    if (!withinGuarantee.has(job) || isSameTeam || withinGuarantee.has(victim)) return false;
     return this.dependencies.quotaTracker.exceedsGuarantee(victim);
   }
 }
 
+/** Whether the rank of the first job is higher than that of the second one. */
+function outranks(first: Job, second: Job): boolean {
+  return RANKS.indexOf(first.rank) < RANKS.indexOf(second.rank);
+}
+
 function isDueForPreemption(job: Job, isFullSearch: boolean, nowMs: number): boolean {
   const isProduction = job.rank === 'prod';
   if (!isProduction && !isFullSearch) return false;
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -9,6 +9,7 @@
 import { isFeasible, type NodeCapacity } from './node-filter.js';
 import { scoreNodes, type PlacementRequest } from './node-scoring.js';
 import { allowsZone, fits } from './placement-constraints.js';
+import { PreemptionReservations, type PreemptionReservation } from './preemption-reservations.js';
 import { Preemptor } from './preemptor.js';
 import { QuotaTracker } from './quota-tracker.js';
 import type { TeamQuota } from './team-quota.js';
@@ -47,6 +48,7 @@
 export class Scheduler {
   private readonly quotaTracker: QuotaTracker;
   private readonly preemptor: Preemptor;
+  private readonly reservations = new PreemptionReservations();
   private isStartLimitReached = false;
 
   constructor(private readonly dependencies: SchedulerDependencies) {
@@ -55,6 +57,7 @@
       clusterState: dependencies.clusterState,
       instanceTypes: dependencies.instanceTypes,
       quotaTracker: this.quotaTracker,
+      reservations: this.reservations,
       findFreeCapacity: (nodes, nowMs) => this.findFreeCapacity(nodes, nowMs),
       wallMs: dependencies.wallMs,
       stopTask: dependencies.stopTask,
@@ -87,6 +90,7 @@
   schedule(openJobs: readonly Job[], nowMs: number): Job[] {
     this.quotaTracker.recountUnreconciledUsage();
     const cycle = this.beginCycle(nowMs);
+    this.applyReservations(cycle, nowMs);
     const waitingJobs: Job[] = [];
     for (const job of openJobs) {
       const mayStart = this.mayStart(job, nowMs);
@@ -143,6 +147,34 @@
     return this.dependencies.isReconciled() || !job.startedInEarlierTerm;
   }
 
+  /** Places the tasks for which room is kept, and keeps the room for those that do not fit yet. */
+  private applyReservations(cycle: SchedulingCycleState, nowMs: number): void {
+    for (const reservation of this.reservations.listCurrent(nowMs)) {
+      const nodeCapacity = cycle.nodes.findNode(reservation.node);
+      if (!nodeCapacity) continue;
+      if (this.mayPlaceReserved(reservation, nodeCapacity, nowMs)) {
+        const { job, node } = reservation;
+        this.planStart(job, job.findNextPendingTask(), node, nowMs);
+        this.reservations.remove(reservation);
+      }
+      reserveTask(nodeCapacity.free, reservation.job.spec);
+    }
+  }
+
+  private mayPlaceReserved(
+    { job }: PreemptionReservation,
+    nodeCapacity: NodeCapacity,
+    nowMs: number,
+  ): boolean {
+    return (
+      this.mayStart(job, nowMs) &&
+      job.findNextPendingTask() >= 0 &&
+      this.quotaTracker.countRemainingTasks(job) > 0 &&
+      isFeasible(job.spec, nodeCapacity) &&
+      allowsZone(job.spec, job.allocationsPerZone, nodeCapacity.node.zone)
+    );
+  }
+
   /** Places as many tasks of the job as its team's quota, the limit of the cycle and the nodes allow. */
   private placeJob(job: Job, cycle: SchedulingCycleState, nowMs: number): void {
     const maxStarts = Math.min(this.quotaTracker.countRemainingTasks(job), cycle.remainingStarts);
