Simulation: a second pause of a paused host keeps what waits for the end of the first

Cause: the scenario draws two pauses of the leader, 1.2 s apart. The second one replaced the list of timers and messages that waited for the end of the first, so they never came, and the controller was half dead for the rest of the scenario. A real process that is suspended twice loses no timer.

Change: a pause of a paused host keeps the lists. The host goes on at the end of the first pause, as before.

--- a/src/simulation/network.ts
+++ b/src/simulation/network.ts
@@ -94,12 +94,12 @@
 
   /** Holds back everything that the host sends from now on, until `resumeHost`. */
   holdOutbound(host: string): void {
-    this.heldOutboundMessages.set(host, []);
+    if (!this.heldOutboundMessages.has(host)) this.heldOutboundMessages.set(host, []);
   }
 
   /** Pauses the host. Its clock runs on, and arriving messages and due timers wait. */
   pauseHost(host: string): void {
-    this.pausedHostActions.set(host, []);
+    if (!this.pausedHostActions.has(host)) this.pausedHostActions.set(host, []);
   }
 
   /** Resumes the host. Everything that waited happens without further delay, and messages held back are sent. */
