Move the dependency list of a job to keys of its own when limits were lowered after it was accepted

Cause: a long list is moved to keys of its own at the submission only. Whoever writes the job later writes the list with it, and the state service answers 400 ('job write rejected as malformed', again every 30 s).

Change: the leader, for each write of a job, and the handler of cancellations move the list first where the value would not fit the limits of the settings. The writer of lists is now in src/state and takes its commit function. Later writes take the description in its stored form, so the list is moved once. Why it works: the parts stand under an id of their own before the job refers to them.

--- a/src/api/cancellation-handler.ts
+++ b/src/api/cancellation-handler.ts
@@ -4,7 +4,8 @@
 import type { Logger } from 'pino';
 import { SUBMISSION_TIMEOUT_MS } from '../constants.js';
 import type { HttpResponse } from '../http/message.js';
-import { encodeJob } from '../state/records.js';
+import type { DependencyListWriter } from '../state/dependency-list-writer.js';
+import { encodeJob, type JobRecord } from '../state/records.js';
 import type { CommitResult, TransactionBatcher } from '../state/transaction-batcher.js';
 import { encodeJobState, isJobUid } from './codec.js';
 import type { JobReader, StoredJob } from './job-reader.js';
@@ -14,6 +15,7 @@
 export interface CancellationHandlerDependencies {
   readonly batcher: TransactionBatcher;
   readonly jobReader: JobReader;
+  readonly dependencyLists: Pick<DependencyListWriter, 'mustMoveList' | 'fitToStore'>;
   /** Whether the state store serves this controller. */
   readonly isStoreAvailable: () => boolean;
   readonly log: Logger;
@@ -45,12 +47,25 @@
     }
   }
 
-  private storeCancellation({ record, keyValue }: StoredJob): Promise<CommitResult> {
+  private storeCancellation(job: StoredJob): Promise<CommitResult> {
+    const cancelled: JobRecord = { ...job.record, phase: 'cancelled' };
+    // The job may have been stored when the state store allowed larger values.
+    return this.dependencies.dependencyLists.mustMoveList(cancelled)
+      ? this.moveListAndCommit(job, cancelled)
+      : this.commit(job, cancelled);
+  }
+
+  private async moveListAndCommit(job: StoredJob, cancelled: JobRecord): Promise<CommitResult> {
+    const fitted = await this.dependencies.dependencyLists.fitToStore(cancelled);
+    if (fitted.kind === 'notWritten') return fitted.result;
+    return this.commit(job, fitted.kind === 'fits' ? fitted.record : cancelled);
+  }
+
+  private commit({ keyValue }: StoredJob, cancelled: JobRecord): Promise<CommitResult> {
     const { key, modRevision } = keyValue;
-    const value = encodeJob({ ...record, phase: 'cancelled' });
     return this.dependencies.batcher.commitForUser(
       [{ key, modRevision }],
-      [{ key, value }],
+      [{ key, value: encodeJob(cancelled) }],
       SUBMISSION_TIMEOUT_MS,
     );
   }
--- a/src/api/submission-handler.ts
+++ b/src/api/submission-handler.ts
@@ -14,11 +14,11 @@
   type JobRecord,
   type JobSpec,
 } from '../state/records.js';
+import type { DependencyListWriter } from '../state/dependency-list-writer.js';
 import type { StateReplica } from '../state/state-replica.js';
 import type { TransactionBatcher } from '../state/transaction-batcher.js';
 import { findRejectionReason } from './admission.js';
 import { decodeSubmission, encodeJobState, MalformedSubmissionError } from './codec.js';
-import type { DependencyListWriter } from './dependency-list-writer.js';
 import type { JobReader } from './job-reader.js';
 import { errorResponse, jsonResponse, TRY_AGAIN } from './responses.js';
 
--- a/src/api/user-api.ts
+++ b/src/api/user-api.ts
@@ -2,11 +2,12 @@
 import { assertNever, type Clock } from '@pumicehinge/runtime';
 import type { Logger } from 'pino';
 import type { Heartbeat } from '../cluster/worker-messages.js';
-import { POLL_TIMEOUT_MS, SUBMISSION_TIMEOUT_MS } from '../constants.js';
+import { DEPENDENCY_LIST_ID_RANGE, POLL_TIMEOUT_MS, SUBMISSION_TIMEOUT_MS } from '../constants.js';
 import type { HttpRequest, HttpResponse, ResponseCallback } from '../http/message.js';
 import { formatMetrics, METRICS_CONTENT_TYPE, type MetricSample } from '../metrics.js';
 import type { DependencyGraph } from '../pipeline/dependency-graph.js';
 import type { TeamQuota } from '../scheduler/team-quota.js';
+import { DependencyListWriter } from '../state/dependency-list-writer.js';
 import type { StateReplica } from '../state/state-replica.js';
 import type { TransactionBatcher } from '../state/transaction-batcher.js';
 import { encodeRedirect, parseHeartbeat } from '../workers/codec.js';
@@ -21,7 +22,6 @@
   METRICS_PATH,
   SUBMISSIONS_PATH,
 } from './codec.js';
-import { DependencyListWriter } from './dependency-list-writer.js';
 import { JobReader } from './job-reader.js';
 import { RequestLimiter } from './request-limiter.js';
 import { errorResponse, jsonResponse, TRY_AGAIN } from './responses.js';
@@ -63,9 +63,15 @@
     this.requestLimiter = new RequestLimiter(dependencies);
     this.jobReader = new JobReader(dependencies);
     const { jobReader } = this;
-    const dependencyLists = new DependencyListWriter(dependencies);
+    const { storeLimits, batcher, random } = dependencies;
+    const dependencyLists = new DependencyListWriter({
+      storeLimits,
+      commit: (conditions, operations) =>
+        batcher.commitForUser(conditions, operations, SUBMISSION_TIMEOUT_MS),
+      createListId: () => Math.floor(random() * DEPENDENCY_LIST_ID_RANGE).toString(36),
+    });
     this.submissionHandler = new SubmissionHandler({ ...dependencies, jobReader, dependencyLists });
-    this.cancellationHandler = new CancellationHandler({ ...dependencies, jobReader });
+    this.cancellationHandler = new CancellationHandler({ ...dependencies, jobReader, dependencyLists });
   }
 
   /** Handles one request. `respond` is called once, now or later. */
--- a/src/leader/cluster-components.ts
+++ b/src/leader/cluster-components.ts
@@ -12,6 +12,7 @@
 import type { LeaderDependencies, LeaderMailbox } from './leader-dependencies.js';
 import { TaskLifecycle } from './task-lifecycle.js';
 import { createCommitInTerm, type CommitInTerm } from './term-transactions.js';
+import { DependencyListWriter } from '../state/dependency-list-writer.js';
 import { TermReconciliation } from './term-reconciliation.js';
 
 /** Options of `ClusterComponents`. */
@@ -82,6 +83,7 @@
     return new JobStore({
       replica,
       commit: this.commit,
+      dependencyLists: this.createDependencyLists(),
       objectives: settings.deadlineObjectives,
       maxOperations: settings.stateLimits.maxTransactionOperations,
       wallMs: () => clock.wallMs(),
@@ -94,6 +96,17 @@
     });
   }
 
+  /** Creates the writer of dependency lists. The number of the term makes the ids of its lists unique. */
+  private createDependencyLists(): DependencyListWriter {
+    const { settings, term } = this.dependencies;
+    let listCount = 0;
+    return new DependencyListWriter({
+      storeLimits: settings.stateLimits,
+      commit: this.commit,
+      createListId: () => `term-${term.fencingToken}-${++listCount}`,
+    });
+  }
+
   /** Applies the value of the key again once the replica has caught up with the state store. */
   private refreshKey(key: string): void {
     const { replica } = this.dependencies;
--- a/src/leader/job-store.ts
+++ b/src/leader/job-store.ts
@@ -18,6 +18,7 @@
   readDependencies,
   type JobRecord,
 } from '../state/records.js';
+import type { DependencyListWriter } from '../state/dependency-list-writer.js';
 import type { StateReplica } from '../state/state-replica.js';
 import type { Condition, KeyChange, Operation } from '../state/store-client.js';
 import type { CommitResult } from '../state/transaction-batcher.js';
@@ -28,6 +29,7 @@
   readonly replica: StateReplica;
   readonly commit: CommitInTerm;
   readonly objectives: DeadlineObjective[];
+  readonly dependencyLists: Pick<DependencyListWriter, 'mustMoveList' | 'fitToStore'>;
   /** Maximum number of operations in one transaction. */
   readonly maxOperations: number;
   readonly wallMs: () => number;
@@ -156,6 +158,23 @@
     const write = job.beginWrite(
       Math.min(MAX_COMPLETION_SEGMENTS_PER_WRITE, this.dependencies.maxOperations - 1),
     );
+    if (this.dependencies.dependencyLists.mustMoveList(write.record)) void this.moveListAndCommit(job, write);
+    else this.commitWrite(job, write);
+  }
+
+  /**
+   * Moves the dependency list of the job to keys of its own before the write. The job was stored when the state store
+   * allowed larger values.
+   */
+  private async moveListAndCommit(job: Job, write: JobWrite): Promise<void> {
+    const fitted = await this.dependencies.dependencyLists.fitToStore(write.record);
+    if (fitted.kind === 'notWritten')
+      return this.dependencies.onWriteEnded({ job, result: fitted.result, write });
+    if (fitted.kind === 'fits') this.dependencies.log.info({ job: job.uid }, 'dependency list moved');
+    this.commitWrite(job, fitted.kind === 'fits' ? { ...write, record: fitted.record } : write);
+  }
+
+  private commitWrite(job: Job, write: JobWrite): void {
     const conditions: Condition[] = [{ key: jobKey(job.uid), modRevision: write.modRevision }];
     const operations: Operation[] = [{ key: jobKey(job.uid), value: encodeJob(write.record) }];
     for (const { segmentIndex, encodedBitmap, modRevision } of write.segments) {
--- a/src/pipeline/job-persistence.ts
+++ b/src/pipeline/job-persistence.ts
@@ -4,7 +4,12 @@
  */
 import { TASKS_PER_COMPLETION_SEGMENT } from '../constants.js';
 import { CompletionBitmap } from '../state/completion-bitmap.js';
-import { decodeCompletionSegment, encodeCompletionSegment, type JobRecord } from '../state/records.js';
+import {
+  decodeCompletionSegment,
+  encodeCompletionSegment,
+  type JobRecord,
+  type JobSpec,
+} from '../state/records.js';
 import type { WireInt } from '../wire/json.js';
 
 /** The write of one segment of the bitmap of completed tasks. */
@@ -56,6 +61,11 @@
     return this.knownRecord;
   }
 
+  /** The stored form of the job's specification. It may refer to the dependency list in place of containing it. */
+  get storedSpec(): JobSpec | undefined {
+    return this.knownRecord.spec;
+  }
+
   /** Number of completed tasks, whether persisted or not. */
   get completedTaskCount(): number {
     return this.completedTasks.completedCount;
--- a/src/pipeline/job.ts
+++ b/src/pipeline/job.ts
@@ -291,7 +291,7 @@
       memberStates: this.memberStates,
       isSuccessorRunning: this.isRunningSuccessor,
       taskCount: this.spec.tasks,
-      spec: shouldKeepSpec ? this.spec : undefined,
+      spec: shouldKeepSpec ? (this.persistence.storedSpec ?? this.spec) : undefined,
       acceptedMs: this.acceptedMs,
       ...(this.finishedAtMs === undefined ? {} : { finishedMs: this.finishedAtMs }),
     };
--- a/test/leader/job-store.test.ts
+++ b/test/leader/job-store.test.ts
@@ -40,6 +40,10 @@
       commit: (conditions: Condition[], operations: Operation[]) =>
         new Promise<CommitResult>((resolve) => writes.push({ conditions, operations, complete: resolve })),
     } as unknown as TransactionBatcher),
+    dependencyLists: {
+      mustMoveList: () => false,
+      fitToStore: (fitting) => Promise.resolve({ kind: 'fits', record: fitting }),
+    },
     objectives: [],
     maxOperations: 12,
     wallMs: () => 0,
