One response can stop every task of a node: those beyond 200 could outlive their cancellation

Cause: an answer renews the lease of all tasks of a machine, and design.md rests cancel_s on each answer carrying the stop. A response had at most 200 commands, and put that limit on first responses and on the lease renewal proxy too, while a machine may hold 409 tasks. Of 409 cancelled tasks, 209 could run on past cancel_s if the next answers were lost.

Change: the limit of commands is the limit of tasks, for responses and direct calls. 409 stops with the longest values fit into 64 KiB.

Test: 'one response stops all tasks of a node that is full' fails before (200 of 409); the test of the size covers the longest values.

--- a/src/constants/workers.ts
+++ b/src/constants/workers.ts
@@ -56,8 +56,6 @@
 export const ATTEMPT_NUMBERS_PER_TERM = 2 ** 22;
 /** A term ends when only this many attempt numbers are left. One scheduling cycle starts fewer attempts. */
 export const RESERVED_ATTEMPT_NUMBERS = 2 ** 16;
-/** Maximum number of commands in one response to a heartbeat or one direct call. It keeps both far below 64 KiB. */
-export const MAX_COMMANDS_PER_RESPONSE = 200;
 /** Maximum size of a heartbeat without its tasks, in bytes. Names that need escapes take several bytes a character. */
 export const MAX_HEARTBEAT_ENVELOPE_BYTES = 4 * 1024;
 /**
@@ -72,3 +70,8 @@
 export const MAX_TASKS_PER_NODE = Math.floor(
   (MAX_BODY_BYTES - MAX_HEARTBEAT_ENVELOPE_BYTES) / MAX_TASK_STATUS_BYTES,
 );
+/**
+ * Maximum number of commands in one response to a heartbeat or one direct call. An answer renews the worker's lease, so it
+ * must be able to stop every task of the node. So many commands with the longest values fit into 64 KiB.
+ */
+export const MAX_COMMANDS_PER_RESPONSE = MAX_TASKS_PER_NODE;
--- a/test/task-limit.test.ts
+++ b/test/task-limit.test.ts
@@ -7,7 +7,6 @@
 import {
   ATTEMPT_NUMBERS_PER_TERM,
   MAX_BODY_BYTES,
-  MAX_COMMANDS_PER_RESPONSE,
   MAX_TASKS_PER_JOB,
   MAX_TASKS_PER_NODE,
 } from '../src/constants.js';
@@ -131,6 +130,7 @@
 
 /** Number of tasks that a machine gets beside those that the leader places on it. */
 const EXCESS_TASKS = 1_000;
+const EXCESS_TASKS_PER_CALL = 200;
 
 /** Starts tasks on a machine as a leader would that does not limit their number. */
 async function startExcessTasks(
@@ -141,8 +141,8 @@
   const { term } = deployment.state.getValue('ph/leader') as { term: number };
   const { worker } = [...deployment.cloud.machines.values()][0]!;
   const client = deployment.network.createHttpClient('former-leader', () => true);
-  for (let start = 0; start < EXCESS_TASKS; start += MAX_COMMANDS_PER_RESPONSE) {
-    const orders = Array.from({ length: MAX_COMMANDS_PER_RESPONSE }, (_, i) => ({
+  for (let start = 0; start < EXCESS_TASKS; start += EXCESS_TASKS_PER_CALL) {
+    const orders = Array.from({ length: EXCESS_TASKS_PER_CALL }, (_, i) => ({
       verb: 'run',
       piece: `${uid}/${firstTask + start + i}`,
       try: (term + 1) * ATTEMPT_NUMBERS_PER_TERM - EXCESS_TASKS + start + i,
--- a/test/workers/stop-commands.test.ts
+++ b/test/workers/stop-commands.test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { TaskState, TaskStatus } from '../../src/cluster/worker-messages.js';
-import { MAX_BODY_BYTES, MAX_COMMANDS_PER_RESPONSE, MAX_TASKS_PER_JOB } from '../../src/constants.js';
+import {
+  MAX_BODY_BYTES,
+  MAX_COMMANDS_PER_RESPONSE,
+  MAX_TASKS_PER_JOB,
+  MAX_TASKS_PER_NODE,
+} from '../../src/constants.js';
 import { encodeJob, jobKey, type JobRecord } from '../../src/state/records.js';
 import { formatJson } from '../../src/wire/json.js';
 import { encodeCommands } from '../../src/workers/codec.js';
@@ -50,6 +55,14 @@
   );
 });
 
+// Guards against tasks that outlive their cancellation (rule `ran_cancelled`): an answer renews the lease of all tasks, so
+// those that it does not stop run on if the next answers are lost.
+test('one response stops all tasks of a node that is full of tasks of an ended job', () => {
+  const tasks = Array.from({ length: MAX_TASKS_PER_NODE }, (_, index) => createTask(index, 'running'));
+  const commands = createStopCommandsForEndedJobs(createHeartbeat(1, 1, tasks), replica);
+  assert.equal(commands.length, MAX_TASKS_PER_NODE);
+});
+
 // A response to a worker has a limited size, and a node of a former version may hold thousands of tasks.
 test('a response stops no more tasks than it can name, and the next one stops others', () => {
   const tasks = Array.from({ length: 3 * MAX_COMMANDS_PER_RESPONSE }, (_, index) =>
