--- a/src/simulation/loopback-cluster.ts
+++ b/src/simulation/loopback-cluster.ts
@@ -13,7 +13,7 @@
 import type { SimulatedHandler } from './network.js';
 import { RuleChecker } from './rule-checker.js';
 import { SimulatedStateService } from './state-service.js';
-import { SimulatedWorker } from './simulated-worker.js';
+import { SimulatedWorker, type TaskFaults } from './simulated-worker.js';
 
 const ZONES = ['east', 'west'];
 const MACHINE_CPUS = 4;
@@ -62,10 +62,13 @@
   /** Members whose requests the cloud leaves unanswered. */
   readonly isolatedFromCloud = new Set<string>();
   private readonly log = pino({ level: 'warn' });
-  private readonly network = new LoopbackNetwork(this.log);
+  /** The network of the simulated services, workers and users. */
+  readonly network = new LoopbackNetwork(this.log);
   private readonly addresses = new Map<string, ControllerAddresses>();
   private readonly processes = new Map<string, ChildProcess>();
   private readonly finishedTasks = new Set<string>();
+  /** How tasks fail on all machines. No task fails until a scenario raises a share. */
+  readonly taskFaults: TaskFaults = { refusedShare: 0, failedShare: 0 };
   private startedUsers!: LoopbackUsers;
   private workerCount = 0;
   /** Second byte of the workers' loopback addresses. */
@@ -204,6 +207,7 @@
       rules,
       random,
       finishedTasks,
+      this.taskFaults,
     );
   }
 
--- a/src/simulation/loopback-network.ts
+++ b/src/simulation/loopback-network.ts
@@ -8,7 +8,8 @@
 import { SocketHttpClient } from '../http/client.js';
 import type { HttpClient } from '../http/message.js';
 import { startHttpServer } from '../http/server.js';
-import type { SimulatedHandler } from './network.js';
+import type { ExecutedRequestCopies, SimulatedHandler } from './network.js';
+import type { ObservedRequest } from './traffic-observer.js';
 
 /** The clock of the simulated services, workers and users. Its pending timers do not keep a process from exiting. */
 export const backgroundClock: Clock = {
@@ -34,6 +35,7 @@
   private readonly httpClients: SocketHttpClient[] = [];
   private readonly sockets = new Set<Socket>();
   private isClosed = false;
+  private executedRequestCopies: ExecutedRequestCopies | undefined;
 
   constructor(private readonly log: Logger) {}
 
@@ -41,7 +43,7 @@
    * Serves HTTP at the address. The handler gets `caller` as the sender of every request. `caller` is empty if the
    * sender is unknown.
    */
-  async attach(_host: string, address: string, handler: SimulatedHandler, caller = ''): Promise<void> {
+  async attach(host: string, address: string, handler: SimulatedHandler, caller = ''): Promise<void> {
     const server = await startHttpServer(
       address,
       MAX_SERVICE_CONNECTIONS,
@@ -49,7 +51,10 @@
         const target = request.query === '' ? request.path : `${request.path}?${request.query}`;
         const body = request.body === '' ? undefined : request.body;
         void handler(caller, request.method, target, body).then((response) => {
-          if (response) respond(response);
+          if (!response) return;
+          respond(response);
+          if (response.status !== 200) return;
+          this.copyIfSelected({ from: caller, to: host, method: request.method, target, body }, handler);
         });
       },
       backgroundClock,
@@ -63,6 +68,24 @@
     if (this.isClosed) server.close();
   }
 
+  /**
+   * From now on, a copy of each selected request that a simulated service or worker executed and answered with status 200
+   * arrives late. Copies without a delay never arrive.
+   */
+  copyExecutedRequests(copies: ExecutedRequestCopies): void {
+    this.executedRequestCopies = copies;
+  }
+
+  private copyIfSelected(request: ObservedRequest, handler: SimulatedHandler): void {
+    if (!this.executedRequestCopies?.select(request)) return;
+    const delayMs = this.executedRequestCopies.drawDelayMs();
+    if (delayMs === undefined) return;
+    const { from, method, target, body } = request;
+    backgroundClock.setTimer(delayMs, () => {
+      if (!this.isClosed) void handler(from, method, target, body);
+    });
+  }
+
   /** Creates a client of its own for one host. */
   createHttpClient(): HttpClient {
     const httpClient = new SocketHttpClient(backgroundClock, 1, 4);
--- a/src/simulation/network.ts
+++ b/src/simulation/network.ts
@@ -23,6 +23,17 @@
   heldMessages: (() => void)[];
 }
 
+/** Which executed requests arrive once more, and when. */
+export interface ExecutedRequestCopies {
+  /** Whether a copy of the request arrives. It is asked once for each request that was answered with status 200. */
+  readonly select: (request: ObservedRequest) => boolean;
+  /**
+   * Draws the time in milliseconds from the answer until the copy arrives. Undefined if the copy is held until
+   * `releaseHeldCopies`.
+   */
+  readonly drawDelayMs: () => number | undefined;
+}
+
 const formatLink = (from: string, to: string): string => `${from} > ${to}`;
 
 /** Carries messages between named hosts. A partition holds messages back and delivers them in order when it heals. */
@@ -36,6 +47,11 @@
   private readonly hostsWithoutInbound = new Set<string>();
   /** For each host whose requests are duplicated, a function that draws the delay of a duplicate in milliseconds. */
   private readonly duplicateDelays = new Map<string, () => number>();
+  /** Which executed requests are copied. Undefined if none is. */
+  private executedRequestCopies: ExecutedRequestCopies | undefined;
+  /** Copies of executed requests that wait for `releaseHeldCopies`. */
+  private heldCopies: ObservedRequest[] = [];
+  private deliveredCopies = 0;
   /** Hosts whose own requests are lost, while requests to them arrive and are answered. */
   private readonly hostsWithoutOwnRequests = new Set<string>();
   private readonly hostsByAddress = new Map<string, string>();
@@ -92,6 +108,44 @@
     this.duplicateDelays.set(host, drawDelayMs);
   }
 
+  /**
+   * From now on, a copy of each selected request that was executed and answered with status 200 arrives late. It reaches
+   * whatever process runs on the host by then, and nobody receives its answer. Replaces what an earlier call selected.
+   */
+  copyExecutedRequests(copies: ExecutedRequestCopies): void {
+    this.executedRequestCopies = copies;
+  }
+
+  /** Delivers the copies of executed requests that are held. */
+  releaseHeldCopies(): void {
+    const copies = this.heldCopies;
+    this.heldCopies = [];
+    for (const request of copies) this.deliverCopy(request);
+  }
+
+  /** Number of copies of executed requests that have arrived at a host. */
+  get deliveredCopyCount(): number {
+    return this.deliveredCopies;
+  }
+
+  private copyIfSelected(request: ObservedRequest): void {
+    const copies = this.executedRequestCopies;
+    if (!copies?.select(request)) return;
+    const delayMs = copies.drawDelayMs();
+    if (delayMs === undefined) this.heldCopies.push(request);
+    else this.clock.setTimer(delayMs, () => this.deliverCopy(request));
+  }
+
+  private deliverCopy(request: ObservedRequest): void {
+    const { from, to, method, target, body } = request;
+    this.runOnHost(to, () => {
+      const handler = this.handlers.get(to);
+      if (!handler) return;
+      this.deliveredCopies++;
+      void handler(from, method, target, body);
+    });
+  }
+
   /** Holds back everything that the host sends from now on, until `resumeHost`. */
   holdOutbound(host: string): void {
     if (!this.heldOutboundMessages.has(host)) this.heldOutboundMessages.set(host, []);
@@ -207,6 +261,7 @@
             this.observer.requestArrived(request);
             void handler(from, method, target, body).then((response) => {
               if (!response) return;
+              if (response.status === 200) this.copyIfSelected(request);
               this.deliver(to, from, () =>
                 settleOnce(() => {
                   this.observer.responseArrived(request, response.status, response.body);
--- a/src/simulation/simulated-deployment.ts
+++ b/src/simulation/simulated-deployment.ts
@@ -24,7 +24,7 @@
 import { SimulatedNetwork, SimulatedPeerNetwork } from './network.js';
 import { RuleChecker, type SimulatedJob } from './rule-checker.js';
 import { SimulatedStateService } from './state-service.js';
-import { SimulatedWorker } from './simulated-worker.js';
+import { SimulatedWorker, type TaskFaults } from './simulated-worker.js';
 
 export { SMALL_DEPLOYMENT, type DeploymentOptions } from './deployment-options.js';
 
@@ -54,6 +54,8 @@
   readonly network: SimulatedNetwork;
   readonly random: () => number;
   readonly peers: SimulatedPeerNetwork;
+  /** How tasks fail on all machines. No task fails until a scenario raises a share. */
+  readonly taskFaults: TaskFaults = { refusedShare: 0, failedShare: 0 };
   private readonly processClocks = new Map<string, ProcessClock>();
   private readonly finishedTasks = new Set<string>();
   private readonly userHttpClient;
@@ -104,6 +106,7 @@
           this.rules,
           this.random,
           this.finishedTasks,
+          this.taskFaults,
         );
       },
     );
--- a/src/simulation/simulated-worker.ts
+++ b/src/simulation/simulated-worker.ts
@@ -10,6 +10,8 @@
 
 /** Longest time from the restart of a machine until its new worker reports, in milliseconds. */
 const MAX_FIRST_REPORT_DELAY_MS = 300;
+/** Time from the start of a task until it fails, in milliseconds, if it is one of those that fail. */
+const FAILURE_DELAY_MS = 1_000;
 
 /** One attempt of a task on this worker. */
 interface Task {
@@ -40,6 +42,14 @@
   minReportIntervalS?: number | undefined;
 }
 
+/** How tasks fail on simulated workers. Scenarios may change the shares at any time. */
+export interface TaskFaults {
+  /** Share of the starts that the worker refuses for lack of resources (cause `full`). */
+  refusedShare: number;
+  /** Share of the tasks that fail soon after they have begun to run (cause `error`). */
+  failedShare: number;
+}
+
 /** A command of a controller, as the protocol encodes it. */
 interface Command {
   verb: string;
@@ -78,6 +88,7 @@
     private readonly random: () => number,
     /** Tasks that finished on any machine. Another attempt at one of them takes only 10 ms. */
     private readonly finishedTasks: Set<string>,
+    private readonly taskFaults: Readonly<TaskFaults>,
   ) {
     this.leaseRenewedMs = clock.steadyMs();
     this.controllerIndex = Math.floor(random() * controllers.length);
@@ -286,6 +297,7 @@
           other !== task && other.phase !== 'exited' && other.uid === uid && other.index === task.index,
       );
       if (isDuplicate) this.exitTask(task, 'in_use');
+      else if (this.isDrawn(this.taskFaults.refusedShare)) this.exitTask(task, 'full');
       else this.clock.setTimer(this.timing.fetchS * 1000, () => this.startTask(key, task));
     }
   }
@@ -302,22 +314,32 @@
       zone: this.machine.zone,
       spot: this.machine.spot,
     });
+    if (this.isDrawn(this.taskFaults.failedShare)) {
+      this.clock.setTimer(FAILURE_DELAY_MS, () => this.endTask(key, task, 'error'));
+      return;
+    }
     const { kind, runS } = this.rules.jobs.get(task.uid)!.job;
     if (kind === 'service') return;
     const hasFinishedBefore = this.finishedTasks.has(`${task.uid}/${task.index}`);
     this.clock.setTimer(hasFinishedBefore ? 10 : runS * 1000 * (0.8 + this.random() * 0.4), () =>
-      this.finishTask(key, task),
+      this.endTask(key, task, 'done'),
     );
   }
 
-  private finishTask(key: string, task: Task): void {
+  /** Ends a running task by itself. A hanging machine ends it once it runs again. */
+  private endTask(key: string, task: Task, cause: 'done' | 'error'): void {
     if (this.tasks.get(key) !== task || task.phase !== 'running') return;
     if (this.isHanging) {
-      this.clock.setTimer(200, () => this.finishTask(key, task));
+      this.clock.setTimer(200, () => this.endTask(key, task, cause));
       return;
     }
-    this.finishedTasks.add(`${task.uid}/${task.index}`);
-    this.exitTask(task, 'done');
+    if (cause === 'done') this.finishedTasks.add(`${task.uid}/${task.index}`);
+    this.exitTask(task, cause);
+  }
+
+  /** Whether an event with this probability happens. Draws nothing if it never happens. */
+  private isDrawn(share: number): boolean {
+    return share > 0 && this.random() < share;
   }
 
   private exitTask(task: Task, cause: string): void {
