--- a/scripts/soak-task-bursts.ts
+++ b/scripts/soak-task-bursts.ts
@@ -10,11 +10,12 @@
   readonly first: string;
   readonly count: string;
   readonly schedule?: boolean;
+  readonly copies?: boolean;
 }
 
 /** Lists what is wrong with a result, one line each. */
 function listFailures(result: BurstSoakResult): string[] {
-  const failures = [...result.violations];
+  const failures = [...result.violations, ...result.startsAfterCancellation];
   if (result.refusedHeartbeats > 0)
     failures.push(`${result.refusedHeartbeats} heartbeats refused for their size`);
   if (result.largestMessageBytes > MAX_BODY_BYTES)
@@ -27,6 +28,7 @@
   .description('Plays random scenarios with bursts of small tasks.')
   .option('--first <seed>', 'the first seed', '1')
   .option('--count <n>', 'number of seeds', '100')
+  .option('--copies', 'late copies of all executed requests arrive, and some tasks fail')
   .option('--schedule', 'print what was drawn for each seed with failures');
 program.parse();
 const options = program.opts<Options>();
@@ -36,7 +38,7 @@
 let startCount = 0;
 let largestMessageBytes = 0;
 for (let seed = firstSeed; seed < firstSeed + seedCount; seed++) {
-  const result = await runBurstScenario(seed);
+  const result = await runBurstScenario(seed, options.copies);
   startCount += result.startCount;
   largestMessageBytes = Math.max(largestMessageBytes, result.largestMessageBytes);
   const failures = listFailures(result);
--- a/src/cluster/attempt.ts
+++ b/src/cluster/attempt.ts
@@ -19,6 +19,24 @@
  */
 export type AttemptState = 'planned' | 'sent' | TaskState;
 
+/**
+ * Why an attempt should stop.
+ *
+ * - `jobEnded`: Its job was cancelled or is done.
+ * - `preempted`: Its room is needed for another job.
+ * - `nodeInterrupted`: The cloud will reclaim its node.
+ * - `unwanted`: A worker lists it, and its task is not meant to run there: another attempt of it is allocated, it is completed, or
+ *   its job has ended or is not known.
+ */
+export type StopReason = 'jobEnded' | 'preempted' | 'nodeInterrupted' | 'unwanted';
+
+/** A request to stop an attempt. */
+export interface StopRequest {
+  /** Seconds for which the task may save a checkpoint. */
+  readonly gracePeriodS: number;
+  readonly reason: StopReason;
+}
+
 /** The identity of an attempt, and the job that it belongs to. */
 export interface AttemptIdentity {
   /** Undefined if a worker lists a task of a job that is not known here. */
@@ -51,7 +69,7 @@
    */
   readonly startedMs: number;
   /** The request to stop the attempt. Undefined if the attempt should keep running. */
-  readonly stopRequest: { readonly gracePeriodS: number } | undefined;
+  readonly stopRequest: StopRequest | undefined;
   /** Why the attempt exited. Undefined while it has not exited. */
   readonly exitCause: ExitCause | undefined;
 
@@ -59,8 +77,8 @@
   markStartSent(sequence: WireInt, nowMs: number): void;
   /** Changes the state back to `planned`, because the start command was certainly not executed. */
   returnToPlanned(): void;
-  /** Requests that the attempt stop, with `gracePeriodS` seconds to save a checkpoint. */
-  requestStop(gracePeriodS: number): void;
+  /** Requests that the attempt stop. */
+  requestStop(request: StopRequest): void;
   /** Records that the worker lists the attempt in a state other than exited. */
   recordState(state: Exclude<TaskState, 'exited'>, nowMs: number): void;
   /** Records that the worker lists the attempt as exited. */
@@ -78,7 +96,7 @@
   startSentSequence: WireInt = 0;
   startSentMs = -Infinity;
   startedMs: number;
-  stopRequest: { readonly gracePeriodS: number } | undefined = undefined;
+  stopRequest: StopRequest | undefined = undefined;
   exitCause: ExitCause | undefined = undefined;
 
   constructor(identity: AttemptIdentity, state: AttemptState, nowMs: number) {
@@ -102,8 +120,8 @@
     this.state = 'planned';
   }
 
-  requestStop(gracePeriodS: number): void {
-    this.stopRequest = { gracePeriodS };
+  requestStop(request: StopRequest): void {
+    this.stopRequest = request;
   }
 
   recordState(state: Exclude<TaskState, 'exited'>, nowMs: number): void {
--- a/src/cluster/cluster-state.ts
+++ b/src/cluster/cluster-state.ts
@@ -17,7 +17,7 @@
 } from './resources.js';
 import { createNode } from './tracked-node.js';
 
-export { formatAttemptKey, formatTaskName, type Attempt, type Job } from './attempt.js';
+export { formatAttemptKey, formatTaskName, type Attempt, type Job, type StopRequest } from './attempt.js';
 export type { Node, NodeDescription } from './node.js';
 export type { MutableResources, Resources } from './resources.js';
 
--- a/src/cluster/heartbeat-reconciler.ts
+++ b/src/cluster/heartbeat-reconciler.ts
@@ -1,6 +1,7 @@
 /** Reconciles the attempts that the cluster state holds with the tasks that the workers list. */
+import type { Logger } from 'pino';
 import type { Heartbeat, TaskState, TaskStatus } from './worker-messages.js';
-import { formatAttemptKey, type Attempt, type AttemptState, type Job } from './attempt.js';
+import { formatAttemptKey, formatTaskName, type Attempt, type AttemptState, type Job } from './attempt.js';
 import type { ClusterState } from './cluster-state.js';
 import {
   classifyUnlistedAttempt,
@@ -22,6 +23,7 @@
    */
   readonly leaseS: number;
   readonly findJob: (uid: string) => Job | undefined;
+  readonly log: Logger;
 }
 
 /** Applies heartbeats, and the responses to them, to the nodes and attempts of the cluster state. */
@@ -141,12 +143,28 @@
       job.attemptByTask.get(task.taskIndex) === attempt &&
       !job.persistence.isCompleted(task.taskIndex);
     if (!isWanted) {
-      attempt.requestStop(0);
+      attempt.requestStop({ gracePeriodS: 0, reason: 'unwanted' });
       clusterState.markAwaitingStops(node);
+      this.logUnwantedAttempt(attempt);
     }
     return attempt;
   }
 
+  /** Logs which attempt of the task is wanted instead, if one is. */
+  private logUnwantedAttempt({ jobUid, taskIndex, number, node, job }: Attempt): void {
+    const wanted = job?.attemptByTask.get(taskIndex);
+    this.dependencies.log.info(
+      {
+        task: formatTaskName({ jobUid, taskIndex }),
+        attempt: number,
+        node: node.name,
+        jobPhase: job?.phase,
+        ...(wanted ? { wantedAttempt: wanted.number, wantedNode: wanted.node.name } : {}),
+      },
+      'unwanted attempt listed by its worker',
+    );
+  }
+
   /**
    * Classifies each attempt that the worker does not list, and removes those that have ended. Returns true if a start
    * command that was sent has had no effect.
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -249,7 +249,7 @@
         this.metrics.recordHeartbeat(body.length);
         return this.heartbeatRouter.route(heartbeat, body, respond);
       },
-      collectMetrics: () => this.metrics.collect(this.leadership.leader?.measureTaskSlotUsage()),
+      collectMetrics: () => this.metrics.collect(this.leadership.leader?.measure()),
     });
   }
 
--- a/src/leader/cluster-components.ts
+++ b/src/leader/cluster-components.ts
@@ -92,7 +92,8 @@
       onWriteEnded: (result) => this.mailbox.send({ kind: 'jobWriteEnded', result }),
       requestRefresh: (key) => this.refreshKey(key),
       onJobCancelled: (job) => {
-        for (const attempt of job.attemptByTask.values()) this.commandDispatcher.requestStop(attempt, 0);
+        for (const attempt of job.attemptByTask.values())
+          this.commandDispatcher.requestStop(attempt, { gracePeriodS: 0, reason: 'jobEnded' });
       },
     });
   }
--- a/src/leader/fleet-reconciler.ts
+++ b/src/leader/fleet-reconciler.ts
@@ -172,7 +172,10 @@
       const { job } = attempt;
       if (!job || attempt.state === 'exited') continue;
       if (this.mustStopBeforeInterruption(job, attempt, { remainingS, nowMs }))
-        this.dependencies.commandDispatcher.requestStop(attempt, DRAIN_GRACE_PERIOD_S);
+        this.dependencies.commandDispatcher.requestStop(attempt, {
+          gracePeriodS: DRAIN_GRACE_PERIOD_S,
+          reason: 'nodeInterrupted',
+        });
     }
   }
 
--- a/src/leader/leader-components.ts
+++ b/src/leader/leader-components.ts
@@ -128,7 +128,8 @@
       instanceTypes: () => instanceCatalog.types,
       isReconciled: () => reconciliation.isComplete,
       wallMs: () => clock.wallMs(),
-      stopTask: (attempt, gracePeriodS) => commandDispatcher.requestStop(attempt, gracePeriodS),
+      stopTask: (attempt, gracePeriodS) =>
+        commandDispatcher.requestStop(attempt, { gracePeriodS, reason: 'preempted' }),
       log,
     });
   }
@@ -193,6 +194,7 @@
       clusterState,
       leaseS: settings.leaseDurationS,
       findJob: (uid) => jobStore.jobs.get(uid),
+      log,
     });
     return new HeartbeatHandler({
       term,
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -3,7 +3,8 @@
  * when to run scheduling cycles.
  */
 import { Actor, assertNever } from '@pumicehinge/runtime';
-import { measureTaskSlotUsage, type TaskSlotUsage } from '../cluster/task-slot-usage.js';
+import { measureTaskSlotUsage } from '../cluster/task-slot-usage.js';
+import type { LeaderMeasurements } from './leader-measurements.js';
 import {
   FLEET_REVIEW_MIN_INTERVAL_MS,
   FLEET_REVIEW_INTERVAL_RATIO,
@@ -69,9 +70,14 @@
     return this.components.cluster.jobStore.countRunningTasks();
   }
 
-  /** Measures how many tasks the nodes hold, for display. */
-  measureTaskSlotUsage(): TaskSlotUsage {
-    return measureTaskSlotUsage(this.components.cluster.clusterState.nodes.values());
+  /** Measures the work of the term, for display. */
+  measure(): LeaderMeasurements {
+    const { clusterState, commandDispatcher } = this.components.cluster;
+    return {
+      term: this.dependencies.term.fencingToken,
+      taskSlots: measureTaskSlotUsage(clusterState.nodes.values()),
+      commands: commandDispatcher.commandCounts,
+    };
   }
 
   protected receive(message: LeaderMessage): void {
--- a/src/leader/scheduling-cycle.ts
+++ b/src/leader/scheduling-cycle.ts
@@ -112,7 +112,8 @@
     if (ending === 'expired')
       log.info({ job: job.uid }, 'pipeline expired; job continues with the successor pipeline');
     if (ending !== 'acceptable') return;
-    for (const attempt of job.attemptByTask.values()) commandDispatcher.requestStop(attempt, 0);
+    for (const attempt of job.attemptByTask.values())
+      commandDispatcher.requestStop(attempt, { gracePeriodS: 0, reason: 'jobEnded' });
   }
 
   /** Persists the end of a job, and drops the job once it has no attempts on nodes and nothing left to write. */
--- a/src/metrics.ts
+++ b/src/metrics.ts
@@ -1,5 +1,6 @@
 /** The metrics of a controller, and their text form, which is that of Prometheus. */
 import type { TaskSlotUsage } from './cluster/task-slot-usage.js';
+import type { LeaderMeasurements } from './leader/leader-measurements.js';
 
 /** Media type of the text form. */
 export const METRICS_CONTENT_TYPE = 'text/plain; version=0.0.4';
@@ -31,7 +32,7 @@
   }
 
   /** Returns the samples of this process, and those of the cluster if this controller leads. */
-  collect(taskSlots: TaskSlotUsage | undefined): MetricSample[] {
+  collect(leader: LeaderMeasurements | undefined): MetricSample[] {
     const samples: MetricSample[] = [
       {
         name: 'pumicehinge_requests_too_large_total',
@@ -52,7 +53,7 @@
         value: this.largestHeartbeatBytes,
       },
     ];
-    return taskSlots ? [...samples, ...collectTaskSlots(taskSlots)] : samples;
+    return leader ? [...samples, ...collectTaskSlots(leader.taskSlots), ...collectCommands(leader)] : samples;
   }
 }
 
@@ -85,6 +86,35 @@
   ];
 }
 
+function collectCommands({ term, commands }: LeaderMeasurements): MetricSample[] {
+  return [
+    {
+      name: 'pumicehinge_leader_term',
+      type: 'gauge',
+      help: 'Fencing token of the term in which this process leads.',
+      value: term,
+    },
+    {
+      name: 'pumicehinge_task_starts_sent_total',
+      type: 'counter',
+      help: 'Start commands in responses to heartbeats since the term began.',
+      value: commands.startsSent,
+    },
+    {
+      name: 'pumicehinge_direct_calls_total',
+      type: 'counter',
+      help: 'Direct calls to workers since the term began. They carry stop commands only.',
+      value: commands.directCalls,
+    },
+    {
+      name: 'pumicehinge_direct_calls_refused_total',
+      type: 'counter',
+      help: 'Direct calls since the term began that their workers refused because of the fencing token or the incarnation.',
+      value: commands.directCallsRefused,
+    },
+  ];
+}
+
 /** Formats samples for a scrape. */
 export function formatMetrics(samples: readonly MetricSample[]): string {
   return samples
--- a/src/simulation/loopback-cluster.ts
+++ b/src/simulation/loopback-cluster.ts
@@ -13,7 +13,7 @@
 import type { SimulatedHandler } from './network.js';
 import { RuleChecker } from './rule-checker.js';
 import { SimulatedStateService } from './state-service.js';
-import { SimulatedWorker, type TaskFaults } from './simulated-worker.js';
+import { createTaskFaults, SimulatedWorker } from './simulated-worker.js';
 
 const ZONES = ['east', 'west'];
 const MACHINE_CPUS = 4;
@@ -68,7 +68,7 @@
   private readonly processes = new Map<string, ChildProcess>();
   private readonly finishedTasks = new Set<string>();
   /** How tasks fail on all machines. No task fails until a scenario raises a share. */
-  readonly taskFaults: TaskFaults = { refusedShare: 0, failedShare: 0 };
+  readonly taskFaults = createTaskFaults();
   private startedUsers!: LoopbackUsers;
   private workerCount = 0;
   /** Second byte of the workers' loopback addresses. */
--- a/src/simulation/loopback-network.ts
+++ b/src/simulation/loopback-network.ts
@@ -69,8 +69,8 @@
   }
 
   /**
-   * From now on, a copy of each selected request that a simulated service or worker executed and answered with status 200
-   * arrives late. Copies without a delay never arrive.
+   * From now on, copies of each selected request that a simulated service or worker executed and answered with status 200
+   * arrive late. Held copies never arrive.
    */
   copyExecutedRequests(copies: ExecutedRequestCopies): void {
     this.executedRequestCopies = copies;
@@ -78,12 +78,13 @@
 
   private copyIfSelected(request: ObservedRequest, handler: SimulatedHandler): void {
     if (!this.executedRequestCopies?.select(request)) return;
-    const delayMs = this.executedRequestCopies.drawDelayMs();
-    if (delayMs === undefined) return;
     const { from, method, target, body } = request;
-    backgroundClock.setTimer(delayMs, () => {
-      if (!this.isClosed) void handler(from, method, target, body);
-    });
+    for (const delayMs of this.executedRequestCopies.drawDelaysMs()) {
+      if (delayMs === Infinity) continue;
+      backgroundClock.setTimer(delayMs, () => {
+        if (!this.isClosed) void handler(from, method, target, body);
+      });
+    }
   }
 
   /** Creates a client of its own for one host. */
--- a/src/simulation/network.ts
+++ b/src/simulation/network.ts
@@ -25,13 +25,13 @@
 
 /** Which executed requests arrive once more, and when. */
 export interface ExecutedRequestCopies {
-  /** Whether a copy of the request arrives. It is asked once for each request that was answered with status 200. */
+  /** Whether the request is copied. It is asked once for each request that was answered with status 200. */
   readonly select: (request: ObservedRequest) => boolean;
   /**
-   * Draws the time in milliseconds from the answer until the copy arrives. Undefined if the copy is held until
+   * Draws the times in milliseconds from the answer until each copy arrives. A copy with the time Infinity is held until
    * `releaseHeldCopies`.
    */
-  readonly drawDelayMs: () => number | undefined;
+  readonly drawDelaysMs: () => readonly number[];
 }
 
 const formatLink = (from: string, to: string): string => `${from} > ${to}`;
@@ -109,8 +109,8 @@
   }
 
   /**
-   * From now on, a copy of each selected request that was executed and answered with status 200 arrives late. It reaches
-   * whatever process runs on the host by then, and nobody receives its answer. Replaces what an earlier call selected.
+   * From now on, copies of each selected request that was executed and answered with status 200 arrive late. They reach
+   * whatever process runs on the host by then, and nobody receives their answers. Replaces what an earlier call selected.
    */
   copyExecutedRequests(copies: ExecutedRequestCopies): void {
     this.executedRequestCopies = copies;
@@ -131,9 +131,10 @@
   private copyIfSelected(request: ObservedRequest): void {
     const copies = this.executedRequestCopies;
     if (!copies?.select(request)) return;
-    const delayMs = copies.drawDelayMs();
-    if (delayMs === undefined) this.heldCopies.push(request);
-    else this.clock.setTimer(delayMs, () => this.deliverCopy(request));
+    for (const delayMs of copies.drawDelaysMs()) {
+      if (delayMs === Infinity) this.heldCopies.push(request);
+      else this.clock.setTimer(delayMs, () => this.deliverCopy(request));
+    }
   }
 
   private deliverCopy(request: ObservedRequest): void {
--- a/src/simulation/simulated-deployment.ts
+++ b/src/simulation/simulated-deployment.ts
@@ -24,7 +24,7 @@
 import { SimulatedNetwork, SimulatedPeerNetwork } from './network.js';
 import { RuleChecker, type SimulatedJob } from './rule-checker.js';
 import { SimulatedStateService } from './state-service.js';
-import { SimulatedWorker, type TaskFaults } from './simulated-worker.js';
+import { createTaskFaults, SimulatedWorker } from './simulated-worker.js';
 
 export { SMALL_DEPLOYMENT, type DeploymentOptions } from './deployment-options.js';
 
@@ -55,7 +55,7 @@
   readonly random: () => number;
   readonly peers: SimulatedPeerNetwork;
   /** How tasks fail on all machines. No task fails until a scenario raises a share. */
-  readonly taskFaults: TaskFaults = { refusedShare: 0, failedShare: 0 };
+  readonly taskFaults = createTaskFaults();
   private readonly processClocks = new Map<string, ProcessClock>();
   private readonly finishedTasks = new Set<string>();
   private readonly userHttpClient;
--- a/src/simulation/simulated-worker.ts
+++ b/src/simulation/simulated-worker.ts
@@ -44,12 +44,17 @@
 
 /** How tasks fail on simulated workers. Scenarios may change the shares at any time. */
 export interface TaskFaults {
-  /** Share of the starts that the worker refuses for lack of resources (cause `full`). */
+  /** Share of the starts that the worker refuses. */
   refusedShare: number;
+  /** The cause with which it refuses them. */
+  refusalCause: 'full' | 'in_use' | 'no_such';
   /** Share of the tasks that fail soon after they have begun to run (cause `error`). */
   failedShare: number;
 }
 
+/** Creates faults of which none is active. */
+export const createTaskFaults = (): TaskFaults => ({ refusedShare: 0, refusalCause: 'full', failedShare: 0 });
+
 /** A command of a controller, as the protocol encodes it. */
 interface Command {
   verb: string;
@@ -297,7 +302,7 @@
           other !== task && other.phase !== 'exited' && other.uid === uid && other.index === task.index,
       );
       if (isDuplicate) this.exitTask(task, 'in_use');
-      else if (this.isDrawn(this.taskFaults.refusedShare)) this.exitTask(task, 'full');
+      else if (this.isDrawn(this.taskFaults.refusedShare)) this.exitTask(task, this.taskFaults.refusalCause);
       else this.clock.setTimer(this.timing.fetchS * 1000, () => this.startTask(key, task));
     }
   }
--- a/src/workers/command-call.ts
+++ b/src/workers/command-call.ts
@@ -30,6 +30,13 @@
   readonly knownAtCall: HeartbeatVersion;
 }
 
+/** Whether the worker refused a direct call, because of the fencing token or of the incarnation. */
+export function isRefused(
+  outcome: CommandCallOutcome,
+): outcome is Extract<CommandCallOutcome, { kind: 'response' }> {
+  return outcome.kind === 'response' && outcome.status === STATUS_FENCED;
+}
+
 /**
  * Returns the status of the worker in its response to a direct call. Undefined if the call got no response, or one
  * without a valid status.
--- a/src/workers/command-dispatcher.ts
+++ b/src/workers/command-dispatcher.ts
@@ -2,15 +2,22 @@
  * Delivers commands to workers: all kinds in the responses to their heartbeats, and stop commands also by direct calls.
  */
 import type { Logger } from 'pino';
-import { formatTaskName, type Attempt, type ClusterState, type Node } from '../cluster/cluster-state.js';
+import {
+  formatTaskName,
+  type Attempt,
+  type ClusterState,
+  type Node,
+  type StopRequest,
+} from '../cluster/cluster-state.js';
 import { generatePendingCommands, hasPendingStop } from '../cluster/pending-commands.js';
 import type { WorkerCommand } from '../cluster/worker-messages.js';
 import { COMMAND_CALL_TIMEOUT_MS, MAX_COMMANDS_PER_RESPONSE, STOP_RESEND_INTERVAL_MS } from '../constants.js';
 import type { LeadershipTerm } from '../election/leadership-term.js';
 import type { HttpClient } from '../http/message.js';
 import { formatJson, type WireInt } from '../wire/json.js';
-import { encodeCommands } from './codec.js';
+import { encodeCommands, parseHeartbeat } from './codec.js';
 import {
+  isRefused,
   parseCommandResponse,
   type CommandCallOutcome,
   type CommandCallResult,
@@ -34,6 +41,14 @@
   readonly handleResponse: (response: CommandResponse) => void;
 }
 
+/** Numbers of commands and calls to workers since the term began. */
+export interface CommandCounts {
+  readonly startsSent: number;
+  readonly directCalls: number;
+  /** Direct calls that their workers refused because of the fencing token or of the incarnation. */
+  readonly directCallsRefused: number;
+}
+
 /**
  * Sends each command until a heartbeat shows its effect. A direct call may be executed late and more than once, also by
  * a new worker on the machine, so it carries only stop commands. A worker ignores a response that comes late, so starts
@@ -45,19 +60,26 @@
   /** Steady time in milliseconds at which a direct call last carried a stop command for the attempt. */
   private readonly stopSentMs = new Map<Attempt, number>();
 
+  private readonly counts = { startsSent: 0, directCalls: 0, directCallsRefused: 0 };
+
   constructor(private readonly dependencies: CommandDispatcherDependencies) {}
 
+  /** What was sent since the term began. */
+  get commandCounts(): CommandCounts {
+    return { ...this.counts };
+  }
+
   /**
-   * Requests that the attempt stop, with `gracePeriodS` seconds to save a checkpoint. A request with a shorter grace
-   * period overrides an earlier one. An attempt whose start was never sent, or was certainly not executed, is
-   * withdrawn at once.
+   * Requests that the attempt stop. A request with a shorter grace period overrides an earlier one. An attempt whose start
+   * was never sent, or was certainly not executed, is withdrawn at once.
    */
-  requestStop(attempt: Attempt, gracePeriodS: number): void {
+  requestStop(attempt: Attempt, request: StopRequest): void {
     if (attempt.state === 'exited') return;
     if (attempt.state === 'planned') {
       this.dependencies.clusterState.withdrawPlannedAttempt(attempt);
-    } else if (!attempt.stopRequest || gracePeriodS < attempt.stopRequest.gracePeriodS) {
-      attempt.requestStop(gracePeriodS);
+    } else if (!attempt.stopRequest || request.gracePeriodS < attempt.stopRequest.gracePeriodS) {
+      attempt.requestStop(request);
+      this.dependencies.log.debug({ ...describeAttempt(attempt), ...request }, 'task stop requested');
       this.dependencies.clusterState.markAwaitingStops(attempt.node);
       this.stopSentMs.delete(attempt);
     }
@@ -77,6 +99,7 @@
     for (const { command, attempt } of generatePendingCommands(node, this.dependencies.mayStart)) {
       if (commands.length >= MAX_COMMANDS_PER_RESPONSE) break;
       if (command.kind === 'start') this.markStartSent(attempt, sequence, nowMs);
+      if (command.kind === 'acknowledge') this.logAcknowledgement(attempt, sequence);
       commands.push(command);
     }
     return commands;
@@ -90,6 +113,7 @@
   /** Applies the worker's response to a direct call to the node. */
   handleCallResult({ node, knownAtCall, outcome }: CommandCallResult): void {
     this.nodesBeingCalled.delete(node);
+    if (isRefused(outcome)) this.recordRefusal(node, outcome.body);
     const status = parseCommandResponse(outcome);
     // The node may have been deleted in the meantime, or deleted and added again.
     if (!status || this.dependencies.clusterState.nodes.get(node.name) !== node) return;
@@ -107,6 +131,7 @@
     const commands = this.prepareDirectCall(node, nowMs);
     if (commands.length === 0) return;
     this.nodesBeingCalled.add(node);
+    this.counts.directCalls++;
     this.callWorker(node, commands);
   }
 
@@ -144,9 +169,38 @@
 
   private markStartSent(attempt: Attempt, sequence: WireInt, nowMs: number): void {
     attempt.markStartSent(sequence, nowMs);
-    this.dependencies.log.debug(
-      { task: formatTaskName(attempt), node: attempt.node.name },
-      'task start sent',
+    this.counts.startsSent++;
+    const { log, term } = this.dependencies;
+    log.debug({ ...describeAttempt(attempt), term: term.fencingToken, sequence }, 'task start sent');
+  }
+
+  private logAcknowledgement(attempt: Attempt, sequence: WireInt): void {
+    const { log, term } = this.dependencies;
+    const { exitCause } = attempt;
+    log.debug(
+      { ...describeAttempt(attempt), term: term.fencingToken, sequence, exitCause },
+      'task exit acknowledged',
     );
   }
+
+  /** Records that a worker refused a direct call: it has seen a later term, or has begun another incarnation. */
+  private recordRefusal({ name, incarnation }: Node, body: string): void {
+    this.counts.directCallsRefused++;
+    const { log, term } = this.dependencies;
+    const status = parseHeartbeat(body);
+    log.info(
+      {
+        node: name,
+        term: term.fencingToken,
+        incarnation,
+        workerToken: status?.fencingToken,
+        workerIncarnation: status?.incarnation,
+      },
+      'direct call refused by its worker',
+    );
+  }
+}
+
+function describeAttempt(attempt: Attempt): { task: string; attempt: WireInt; node: string } {
+  return { task: formatTaskName(attempt), attempt: attempt.number, node: attempt.node.name };
 }
--- a/test/cluster/pending-commands.test.ts
+++ b/test/cluster/pending-commands.test.ts
@@ -9,13 +9,18 @@
 } from '../support/cluster-fixture.js';
 
 test('a second attempt of an allocated task takes resources and is stopped, and the first one remains', () => {
-  const { job, clusterState, reconciler, node } = createClusterWithNode();
+  const { job, clusterState, reconciler, node, logLines } = createClusterWithNode();
   reconciler.apply(
     node,
     createHeartbeat(1, 1, [createRunningTask(0, 7), createRunningTask(0, 8)]),
     'heartbeat',
     0,
   );
+  const logged = logLines.map((line) => JSON.parse(line) as Record<string, unknown>);
+  assert.deepEqual(
+    logged.map(({ msg, attempt, wantedAttempt }) => [msg, attempt, wantedAttempt]),
+    [['unwanted attempt listed by its worker', 8, 7]],
+  );
   assert.equal(job.attemptByTask.get(0)!.number, 7);
   assert.equal(clusterState.getTeamUsage('red').cpus, 4);
   const commands = listCommands(node).map(({ kind, attemptNumber }) => `${kind} ${attemptNumber}`);
@@ -39,7 +44,7 @@
   reconciler.apply(node, createHeartbeat(1, 1), 'heartbeat', 0);
   const attempt = clusterState.planAttempt({ job, taskIndex: 0, number: 7, node }, 0);
   attempt.markStartSent(1, 0);
-  attempt.requestStop(0);
+  attempt.requestStop({ gracePeriodS: 0, reason: 'preempted' });
   // The response to a direct call can overtake the start, so the attempt stays allocated.
   reconciler.apply(node, createHeartbeat(1, 2), 'commandResponse', 10);
   assert.equal(attempt.state, 'sent');
@@ -57,7 +62,7 @@
   const { reconciler, node } = createClusterWithNode();
   reconciler.apply(node, createHeartbeat(1, 1, [createRunningTask(0, 7)]), 'heartbeat', 0);
   const attempt = [...node.attempts.values()][0]!;
-  attempt.requestStop(30);
+  attempt.requestStop({ gracePeriodS: 30, reason: 'preempted' });
   assert.deepEqual(
     listCommands(node).map(({ kind }) => kind),
     ['stop'],
@@ -65,7 +70,7 @@
   const saving: TaskStatus = { ...createRunningTask(0, 7), state: 'saving' };
   reconciler.apply(node, createHeartbeat(1, 2, [saving]), 'heartbeat', 10);
   assert.deepEqual(listCommands(node), []);
-  attempt.requestStop(0);
+  attempt.requestStop({ gracePeriodS: 0, reason: 'preempted' });
   assert.deepEqual(
     listCommands(node).map(({ kind }) => kind),
     ['stop'],
@@ -78,7 +83,7 @@
   reconciler.apply(node, createHeartbeat(1, 1), 'heartbeat', 0);
   const attempt = clusterState.planAttempt({ job, taskIndex: 0, number: 7, node }, 0);
   attempt.markStartSent(1, 0);
-  attempt.requestStop(0);
+  attempt.requestStop({ gracePeriodS: 0, reason: 'preempted' });
   const listKinds = (): string[] => listCommands(node).map(({ kind }) => kind);
   assert.deepEqual(listKinds(), ['stop']);
   reconciler.apply(node, createHeartbeat(1, 2, [createRunningTask(0, 7)]), 'heartbeat', 10);
--- a/test/late-command-copies.test.ts
+++ b/test/late-command-copies.test.ts
@@ -21,7 +21,9 @@
   const deployment = new SimulatedDeployment(seed, options);
   deployment.network.copyExecutedRequests({
     select: ({ target }) => target === '/orders',
-    drawDelayMs: () => COPY_DELAY_MS.min + (COPY_DELAY_MS.max - COPY_DELAY_MS.min) * deployment.random() ** 2,
+    drawDelaysMs: () => [
+      COPY_DELAY_MS.min + (COPY_DELAY_MS.max - COPY_DELAY_MS.min) * deployment.random() ** 2,
+    ],
   });
   return deployment;
 }
--- a/test/metrics.test.ts
+++ b/test/metrics.test.ts
@@ -43,10 +43,16 @@
   for (const [member, values] of valuesByMember) {
     assert.equal(values.get('pumicehinge_requests_too_large_total'), 0);
     assert.equal(values.has('pumicehinge_node_tasks_max'), member === deployment.leader);
+    assert.equal(values.has('pumicehinge_leader_term'), member === deployment.leader);
   }
   const ofLeader = valuesByMember.get(deployment.leader!)!;
   assert.ok(ofLeader.get('pumicehinge_node_tasks_max')! >= 1);
   assert.equal(ofLeader.get('pumicehinge_nodes_over_task_limit'), 0);
+  const { term } = deployment.state.getValue('ph/leader') as { term: number };
+  assert.equal(ofLeader.get('pumicehinge_leader_term'), term);
+  assert.equal(ofLeader.get('pumicehinge_task_starts_sent_total'), 4);
+  assert.equal(ofLeader.get('pumicehinge_direct_calls_total'), 0);
+  assert.equal(ofLeader.get('pumicehinge_direct_calls_refused_total'), 0);
 });
 
 test('only a heartbeat may be larger than other requests', () => {
--- a/test/scheduler/task-slots.test.ts
+++ b/test/scheduler/task-slots.test.ts
@@ -88,7 +88,7 @@
 
 test('a task that is already being stopped frees its slot, so no other is preempted', () => {
   const { clusterState, node } = createFullNode(MAX_TASKS_PER_NODE);
-  [...node.attempts.values()][1]!.requestStop(0);
+  [...node.attempts.values()][1]!.requestStop({ gracePeriodS: 0, reason: 'preempted' });
   const preemptions = rankPreemptions(SERVICE, [{ node, free: clusterState.computeFreeCapacity(node) }], {
     estimateImagePullS: () => 0,
     mayPreempt: () => true,
--- a/test/support/cluster-fixture.ts
+++ b/test/support/cluster-fixture.ts
@@ -1,4 +1,5 @@
 /** A cluster with one node and one job for the tests of `src/cluster`. */
+import { pino } from 'pino';
 import { ClusterState, type Attempt, type Node } from '../../src/cluster/cluster-state.js';
 import { HeartbeatReconciler } from '../../src/cluster/heartbeat-reconciler.js';
 import { NodeHealth, type NodeHealthDependencies } from '../../src/cluster/node-health.js';
@@ -40,6 +41,7 @@
   const released: Attempt[] = [];
   const exits: string[] = [];
   const nodesWithFreedSlot: Node[] = [];
+  const logLines: string[] = [];
   const clusterState = new ClusterState({
     onExited: (attempt, cause) => exits.push(`${attempt.taskIndex} ${cause}`),
     onReleased: (attempt) => released.push(attempt),
@@ -49,12 +51,13 @@
     clusterState,
     leaseS: LEASE_S,
     findJob: (uid) => (uid === job.uid ? job : undefined),
+    log: pino({ level: 'info' }, { write: (line) => logLines.push(line) }),
   });
   const node = clusterState.addNode(
     { name: NODE_NAME, ...NODE_DESCRIPTION, capacity: { cpus: 8, accelerators: 0, memGb: 64 } },
     0,
   );
-  return { job, clusterState, reconciler, node, released, exits, nodesWithFreedSlot };
+  return { job, clusterState, reconciler, node, released, exits, nodesWithFreedSlot, logLines };
 }
 
 /** Creates a heartbeat of the node `vm-1`. */
--- a/test/support/random-faults.ts
+++ b/test/support/random-faults.ts
@@ -13,6 +13,10 @@
 const MAX_HANG_S = 8;
 /** Delays of the late copies of reports, in milliseconds. */
 const COPY_DELAY_MS = { min: 500, max: 40_000 };
+/** Delays of the late copies of executed requests, in milliseconds: up to several leases. */
+const EXECUTED_COPY_DELAY_MS = { min: 1_000, max: 60_000 };
+/** Share of the tasks that fail, and of the starts that are refused, where executed requests are copied. */
+const TASK_FAULT_SHARE = 0.04;
 
 /** Draws faults for a deployment, and injects them at their times. */
 export class RandomFaults {
@@ -47,6 +51,21 @@
       this.pick(weighted)(atS, 1 + (MAX_FAULT_S - 1) * this.random() ** 2);
   }
 
+  /**
+   * From now on, a late copy of each request that was executed arrives, whoever sent it. Until the last fault, some tasks
+   * fail or are refused. Watches change nothing and are not copied.
+   */
+  copyExecutedRequests(): void {
+    const { network, random, taskFaults } = this.deployment;
+    const { min, max } = EXECUTED_COPY_DELAY_MS;
+    network.copyExecutedRequests({
+      select: ({ target }) => !target.startsWith('/follow'),
+      drawDelaysMs: () => [min + (max - min) * random() ** 2],
+    });
+    Object.assign(taskFaults, { failedShare: TASK_FAULT_SHARE, refusedShare: TASK_FAULT_SHARE });
+    this.deployment.at(LAST_FAULT_S, () => Object.assign(taskFaults, { failedShare: 0, refusedShare: 0 }));
+  }
+
   /** Restarts up to five machines together, and some of them a second time soon after. */
   private restartSome(atS: number): void {
     const count = 1 + Math.floor(5 * this.random());
--- a/test/support/task-burst-soak.ts
+++ b/test/support/task-burst-soak.ts
@@ -21,6 +21,8 @@
   /** What was drawn: options of the deployment, bursts, and faults with their times. */
   readonly schedule: readonly string[];
   readonly violations: readonly string[];
+  /** Tasks that started long after their jobs were confirmed as cancelled. */
+  readonly startsAfterCancellation: readonly string[];
   /** Number of tasks that started. */
   readonly startCount: number;
   /** Size of the largest message to or from a worker, in bytes. */
@@ -39,7 +41,10 @@
   private readonly faults: RandomFaults;
   private readonly arrayUids: string[] = [];
 
-  constructor(private readonly seed: number) {
+  constructor(
+    private readonly seed: number,
+    copiesRequests: boolean,
+  ) {
     const generator = xoroshiro128plus(seed);
     this.random = () => uniformFloat64(generator);
     const options = {
@@ -55,6 +60,7 @@
     this.schedule.push(JSON.stringify(options));
     this.deployment = new SimulatedDeployment(seed, { ...options, createObserver: () => this.sizes });
     this.faults = new RandomFaults(this.deployment, this.random, this.schedule);
+    if (copiesRequests) this.faults.copyExecutedRequests();
   }
 
   /** Plays the scenario. */
@@ -64,9 +70,9 @@
     this.faults.scheduleFaults();
     deployment.faultsEndMs = (LAST_FAULT_S + MAX_FAULT_S) * 1000;
     await deployment.clock.runUntil(END_S * 1000);
-    const { violations, startCount, jobs } = deployment.rules;
+    const { violations, startsAfterCancellation, startCount, jobs } = deployment.rules;
     return {
-      ...{ seed, schedule, violations, startCount },
+      ...{ seed, schedule, violations, startsAfterCancellation, startCount },
       largestMessageBytes: sizes.largest,
       refusedHeartbeats: sizes.refusedHeartbeats,
       unfinishedJobs: this.arrayUids.filter((uid) => jobs.get(uid)!.reportedPhase === 'open'),
@@ -104,7 +110,7 @@
   }
 }
 
-/** Plays the scenario of a seed. */
-export function runBurstScenario(seed: number): Promise<BurstSoakResult> {
-  return new BurstScenario(seed).run();
+/** Plays the scenario of a seed. If `copiesRequests` is set, late copies of all executed requests arrive, and tasks fail. */
+export function runBurstScenario(seed: number, copiesRequests = false): Promise<BurstSoakResult> {
+  return new BurstScenario(seed, copiesRequests).run();
 }
--- a/test/support/worker-restart-soak.ts
+++ b/test/support/worker-restart-soak.ts
@@ -17,6 +17,8 @@
   readonly violations: readonly string[];
   /** Number of tasks that started. */
   readonly startCount: number;
+  /** Tasks that started long after their jobs were confirmed as cancelled. */
+  readonly startsAfterCancellation: readonly string[];
   /** Number of workers that began anew. */
   readonly restartCount: number;
   /** Number of restarts that ended at least one task. */
@@ -30,7 +32,10 @@
   private readonly schedule: string[] = [];
   private readonly faults: RandomFaults;
 
-  constructor(private readonly seed: number) {
+  constructor(
+    private readonly seed: number,
+    copiesRequests: boolean,
+  ) {
     const generator = xoroshiro128plus(seed);
     this.random = () => uniformFloat64(generator);
     const options = {
@@ -45,6 +50,7 @@
     this.schedule.push(JSON.stringify(options));
     this.deployment = new SimulatedDeployment(seed, options);
     this.faults = new RandomFaults(this.deployment, this.random, this.schedule);
+    if (copiesRequests) this.faults.copyExecutedRequests();
   }
 
   /** Plays the scenario. */
@@ -54,10 +60,18 @@
     this.faults.scheduleFaults();
     deployment.faultsEndMs = (LAST_FAULT_S + MAX_FAULT_S) * 1000;
     await deployment.clock.runUntil(END_S * 1000);
-    const { violations, startCount } = deployment.rules;
+    const { violations, startCount, startsAfterCancellation } = deployment.rules;
     const { seed, schedule } = this;
     const { restartCount, taskLosingRestartCount } = this.faults;
-    return { seed, schedule, violations, startCount, restartCount, taskLosingRestartCount };
+    return {
+      seed,
+      schedule,
+      violations,
+      startCount,
+      startsAfterCancellation,
+      restartCount,
+      taskLosingRestartCount,
+    };
   }
 
   private scheduleWorkload(): void {
@@ -81,7 +95,7 @@
   }
 }
 
-/** Plays the scenario of a seed. */
-export function runSoakScenario(seed: number): Promise<SoakResult> {
-  return new SoakScenario(seed).run();
+/** Plays the scenario of a seed. If `copiesRequests` is set, late copies of all executed requests arrive, and tasks fail. */
+export function runSoakScenario(seed: number, copiesRequests = false): Promise<SoakResult> {
+  return new SoakScenario(seed, copiesRequests).run();
 }
--- a/test/workers/command-dispatcher.test.ts
+++ b/test/workers/command-dispatcher.test.ts
@@ -67,7 +67,7 @@
   const addStoppingAttempt = (): Attempt => {
     const stopping = clusterState.planAttempt({ job, taskIndex: 1, number: 8, node }, 0);
     stopping.markStartSent(1, 0);
-    dispatcher.requestStop(stopping, 0);
+    dispatcher.requestStop(stopping, { gracePeriodS: 0, reason: 'preempted' });
     return stopping;
   };
   return {
@@ -101,7 +101,7 @@
 // or reach a new worker on the machine.
 test('a direct call carries no start, whatever the worker has to be told and however the call before it ended', async () => {
   for (const [name, respond, hasStatus] of CALL_OUTCOMES) {
-    const { attempt, bodies, responses, sendPendingStops, addStoppingAttempt } = setUp(respond);
+    const { attempt, dispatcher, bodies, responses, sendPendingStops, addStoppingAttempt } = setUp(respond);
     await sendPendingStops(10);
     assert.deepEqual(bodies, [], name);
     addStoppingAttempt();
@@ -115,6 +115,12 @@
         name,
       );
     assert.equal(attempt.state, 'planned', name);
+    const refusedCalls = name === 'fenced' ? 2 : 0;
+    assert.deepEqual(
+      dispatcher.commandCounts,
+      { startsSent: 0, directCalls: 2, directCallsRefused: refusedCalls },
+      name,
+    );
     assert.deepEqual(responses, hasStatus ? ['vm-1', 'vm-1'] : [], name);
   }
 });
@@ -149,7 +155,7 @@
   attempt.markStartSent(1, 0);
   const formatStopBody = (gracePeriodS: number): string =>
     `{"baton":3,"tenure":0,"orders":[{"verb":"stop","piece":"job-000001/0","try":7,"leewayS":${gracePeriodS}}]}`;
-  dispatcher.requestStop(attempt, 30);
+  dispatcher.requestStop(attempt, { gracePeriodS: 30, reason: 'preempted' });
   const steps: [name: string, atMs: number, gracePeriodS: number, expected: string[]][] = [
     ['first', 10, 30, [formatStopBody(30)]],
     ['too early', 9 + STOP_RESEND_INTERVAL_MS, 30, []],
@@ -159,7 +165,7 @@
   ];
   for (const [name, atMs, gracePeriodS, expected] of steps) {
     bodies.length = 0;
-    dispatcher.requestStop(attempt, gracePeriodS);
+    dispatcher.requestStop(attempt, { gracePeriodS, reason: 'preempted' });
     await sendPendingStops(atMs);
     assert.deepEqual(bodies, expected, name);
   }
@@ -167,6 +173,6 @@
 
 test('an attempt whose start was never sent is withdrawn when it is stopped', () => {
   const { attempt, node, dispatcher } = setUp(() => assert.fail('nothing is sent'));
-  dispatcher.requestStop(attempt, 30);
+  dispatcher.requestStop(attempt, { gracePeriodS: 30, reason: 'preempted' });
   assert.equal(node.attempts.size, 0);
 });
